--- /dev/null
+++ b/core/fault/example_test.go
@@ -0,0 +1,18 @@
+package fault_test
+
+import (
+	"fmt"
+
+	"gypsumcrank/core/fault"
+)
+
+// An error names its remedy, and survives being wrapped.
+func ExampleOf() {
+	err := fault.New(fault.Busy, "come back later", "all 8 slots are taken").WithOutcome(fault.NotRun)
+	wrapped := fmt.Errorf("send: %w", err)
+	fmt.Println(fault.Of(wrapped).Outcome)
+	fmt.Println(err)
+	// Output:
+	// not_run
+	// busy: all 8 slots are taken (remedy: come back later)
+}
--- /dev/null
+++ b/core/fault/fault.go
@@ -0,0 +1,108 @@
+// Package fault holds the typed errors that cross the system.
+//
+// Every Error says four things: its kind, what was lacking, what the reader
+// can do about it, and what is known about whether the work ran. The last one,
+// the Outcome, is a promise: not_run is said only when nothing can run any more.
+package fault
+
+import (
+	"fmt"
+
+	"github.com/pkg/errors"
+
+	"gypsumcrank/core/clock"
+)
+
+// Kind sorts errors by what the receiver should do.
+type Kind string
+
+// The kinds of error.
+const (
+	Invalid    Kind = "invalid"
+	Denied     Kind = "denied"
+	NotFound   Kind = "not_found"
+	Conflict   Kind = "conflict"
+	Busy       Kind = "busy"
+	Expired    Kind = "deadline_passed"
+	StoreOut   Kind = "store_out"
+	Fenced     Kind = "fenced"
+	InDoubt    Kind = "in_doubt"
+	Leaving    Kind = "leaving"
+	TooLarge   Kind = "too_large"
+	Infeasible Kind = "infeasible"
+	Failed     Kind = "failed"
+	Cancelled  Kind = "cancelled"
+	Unreached  Kind = "unreachable"
+	Internal   Kind = "internal"
+)
+
+// Outcome says what is known about a request's run.
+type Outcome string
+
+// The outcomes.
+const (
+	Done    Outcome = "done"
+	RanFail Outcome = "failed"
+	NotRun  Outcome = "not_run"
+	Unknown Outcome = "unknown"
+)
+
+// Error is the one error type that crosses process boundaries. Its fields are
+// exported because it is also a message.
+type Error struct {
+	Kind       Kind         `json:"kind" cbor:"1,keyasint"`
+	Detail     string       `json:"detail" cbor:"2,keyasint"`
+	Lacking    string       `json:"lacking,omitempty" cbor:"3,keyasint,omitempty"`
+	Remedy     string       `json:"remedy" cbor:"4,keyasint"`
+	Outcome    Outcome      `json:"outcome,omitempty" cbor:"5,keyasint,omitempty"`
+	RetryAfter clock.Millis `json:"retry_after_ms,omitempty" cbor:"6,keyasint,omitempty"`
+}
+
+// New makes an error of the kind, with what happened and what helps.
+func New(kind Kind, remedy, format string, args ...any) *Error {
+	return &Error{Kind: kind, Remedy: remedy, Detail: fmt.Sprintf(format, args...)}
+}
+
+// Error writes the message with its remedy.
+func (e *Error) Error() string {
+	return fmt.Sprintf("%s: %s (remedy: %s)", e.Kind, e.Detail, e.Remedy)
+}
+
+// WithOutcome returns a copy that states what is known about the run.
+func (e *Error) WithOutcome(o Outcome) *Error {
+	c := *e
+	c.Outcome = o
+	return &c
+}
+
+// WithRetry returns a copy that says when coming back makes sense.
+func (e *Error) WithRetry(after clock.Millis) *Error {
+	c := *e
+	c.RetryAfter = after
+	return &c
+}
+
+// WithLacking returns a copy that names what was missing.
+func (e *Error) WithLacking(what string) *Error {
+	c := *e
+	c.Lacking = what
+	return &c
+}
+
+// Of finds the typed error in err's chain; an unknown error becomes Internal.
+func Of(err error) *Error {
+	if err == nil {
+		return nil
+	}
+	var e *Error
+	if errors.As(err, &e) {
+		return e
+	}
+	return New(Internal, "report it with the log line of this time", "%v", err)
+}
+
+// Is tells whether err is a typed error of the kind.
+func Is(err error, kind Kind) bool {
+	var e *Error
+	return errors.As(err, &e) && e.Kind == kind
+}
--- /dev/null
+++ b/core/kern/kern_test.go
@@ -0,0 +1,76 @@
+package kern_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"log/slog"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/pkg/errors"
+
+	"gypsumcrank/core/kern"
+)
+
+type part struct {
+	name  string
+	trace *[]string
+	fails bool
+}
+
+func (p part) Start(context.Context, *kern.Kernel) error {
+	if p.fails {
+		return errors.New("no")
+	}
+	*p.trace = append(*p.trace, "start "+p.name)
+	return nil
+}
+
+func (p part) Stop(context.Context) error {
+	*p.trace = append(*p.trace, "stop "+p.name)
+	return nil
+}
+
+func TestStopsInReverseWhatWasStarted(t *testing.T) {
+	c := qt.New(t)
+	var trace []string
+	k := &kern.Kernel{Log: slog.New(slog.NewTextHandler(io.Discard, nil))}
+	k.Add("a", part{name: "a", trace: &trace})
+	k.Add("b", part{name: "b", trace: &trace})
+	k.Add("c", part{name: "c", trace: &trace, fails: true})
+	err := k.Run(context.Background())
+	c.Assert(err, qt.ErrorMatches, "start c: no")
+	c.Assert(trace, qt.DeepEquals, []string{"start a", "start b", "stop b", "stop a"})
+	_, err = kern.Find[part](k, "a")
+	c.Assert(err, qt.IsNil)
+	_, err = kern.Find[part](k, "x")
+	c.Assert(errors.Is(err, kern.ErrNotFound), qt.IsTrue)
+}
+
+type counter struct{ total int }
+
+type addMsg int
+
+func (m *counter) Update(msg kern.Msg) []kern.Cmd {
+	n := msg.(addMsg)
+	m.total += int(n)
+	if n <= 1 {
+		return nil
+	}
+	return []kern.Cmd{func(context.Context) kern.Msg { return n - 1 }}
+}
+
+// A loop applies messages one at a time; commands bring new ones.
+func ExampleLoop() {
+	m := &counter{}
+	l := &kern.Loop{Model: m}
+	l.Start()
+	l.Send(addMsg(3))
+	for total := 0; total < 6; {
+		l.Ask(func() { total = m.total })
+	}
+	l.Stop()
+	fmt.Println(m.total)
+	// Output: 6
+}
--- /dev/null
+++ b/core/ledg/task.go
@@ -0,0 +1,321 @@
+package ledg
+
+import (
+	"fmt"
+	"sort"
+
+	"gypsumcrank/core/clock"
+	"gypsumcrank/core/fault"
+	"gypsumcrank/core/proto"
+	"gypsumcrank/core/spec"
+)
+
+// TaskKey names one attempt at one task of a job.
+type TaskKey struct {
+	Job     string
+	Attempt int
+	Rank    int
+}
+
+// ID is the attempt's name at the worker.
+func (k TaskKey) ID() string { return fmt.Sprintf("%s.%d.%d", k.Job, k.Attempt, k.Rank) }
+
+// gangFence names the fence of all a gang's tasks of one attempt.
+func (k TaskKey) gangFence() string { return fmt.Sprintf("%s.%d", k.Job, k.Attempt) }
+
+// Task is a reservation and what became of it.
+type Task struct {
+	key        TaskKey
+	account    string
+	gang       int
+	cell       spec.Cell
+	state      proto.TaskState
+	heldUntil  clock.Millis
+	asking     bool
+	starting   bool
+	startedAt  clock.Millis
+	endedAt    clock.Millis
+	detail     string
+	checkpoint string
+	usedMB     int
+}
+
+// Key names the task's attempt.
+func (t *Task) Key() TaskKey { return t.key }
+
+// State is the task's state.
+func (t *Task) State() proto.TaskState { return t.state }
+
+// Checkpoint is the last one taken when the task was stopped.
+func (t *Task) Checkpoint() string { return t.checkpoint }
+
+// Cell is the task's block of accelerators.
+func (t *Task) Cell() spec.Cell { return t.cell }
+
+func (t *Task) live() bool { return t.state == proto.TaskHeld || t.state == proto.TaskRunning }
+
+func (t *Task) report() proto.Task {
+	return proto.Task{
+		Job: t.key.Job, Attempt: t.key.Attempt, Rank: t.key.Rank, Account: t.account,
+		Cell: t.cell, State: t.state, Detail: t.detail, UsedMB: t.usedMB, Checkpoint: t.checkpoint,
+	}
+}
+
+func (l *Ledger) sortedTasks() []TaskKey {
+	keys := make([]TaskKey, 0, len(l.tasks))
+	for k := range l.tasks {
+		keys = append(keys, k)
+	}
+	sort.Slice(keys, func(i, j int) bool { return keys[i].ID() < keys[j].ID() })
+	return keys
+}
+
+// Find gives a task by its key.
+func (l *Ledger) Find(key TaskKey) (*Task, bool) {
+	t, ok := l.tasks[key]
+	return t, ok
+}
+
+// Reserve holds a cell for a task until it is started, stopped or resolved.
+func (l *Ledger) Reserve(now clock.Millis, m proto.ReserveMsg) error {
+	if err := l.checkIncarnation(m.Incarnation); err != nil {
+		return err
+	}
+	if err := l.checkFresh(now, m.IssuedAt, "reservation for "+m.Job); err != nil {
+		return err
+	}
+	if err := l.checkEpoch(m.Epoch); err != nil {
+		return err
+	}
+	key := TaskKey{Job: m.Job, Attempt: m.Attempt, Rank: m.Rank}
+	if _, ok := l.tasks[key]; ok {
+		return nil
+	}
+	if l.fenced(key.gangFence()) {
+		return fault.New(fault.Fenced, "plan the job anew", "attempt %d of job %s was ended", m.Attempt, m.Job).WithOutcome(fault.NotRun)
+	}
+	if err := l.checkReady(); err != nil {
+		return err
+	}
+	if err := l.checkCell(m.Cell); err != nil {
+		return err
+	}
+	l.tasks[key] = &Task{key: key, account: m.Account, gang: m.Gang, cell: m.Cell, state: proto.TaskHeld, heldUntil: now + m.Hold}
+	l.seq++
+	return nil
+}
+
+func (l *Ledger) checkCell(c spec.Cell) error {
+	aligned := c.Size > 0 && c.Size&(c.Size-1) == 0 && c.First >= 0 && c.First%c.Size == 0
+	if !aligned || c.First+c.Size > max(l.worker.Accelerators, 1) {
+		return fault.New(fault.Invalid, "plan with the worker's own sizes", "cell %d+%d is not one of worker %s", c.First, c.Size, l.worker.Worker).WithOutcome(fault.NotRun)
+	}
+	for _, t := range l.tasks {
+		if t.live() && t.cell.Overlaps(c) {
+			return fault.New(fault.Busy, "plan with a newer report", "cell %d+%d of %s is held by job %s", c.First, c.Size, l.agent, t.key.Job).WithOutcome(fault.NotRun).WithLacking("accelerators")
+		}
+	}
+	return nil
+}
+
+// Start moves a held task to running. It returns false if it was started
+// before. After it, the caller starts the task at the worker and says what
+// came of it with Started.
+func (l *Ledger) Start(_ clock.Millis, m proto.StartMsg) (*Task, bool, error) {
+	if err := l.checkIncarnation(m.Incarnation); err != nil {
+		return nil, false, err
+	}
+	if err := l.checkEpoch(m.Epoch); err != nil {
+		return nil, false, err
+	}
+	key := TaskKey{Job: m.Job, Attempt: m.Attempt, Rank: m.Rank}
+	t, ok := l.tasks[key]
+	if !ok {
+		return nil, false, fault.New(fault.Fenced, "plan the job anew", "no reservation for attempt %d of job %s", m.Attempt, m.Job).WithOutcome(fault.NotRun)
+	}
+	return l.start(t)
+}
+
+func (l *Ledger) start(t *Task) (*Task, bool, error) {
+	switch t.state {
+	case proto.TaskHeld:
+		t.state = proto.TaskRunning
+		t.starting = true
+		l.seq++
+		return t, true, nil
+	case proto.TaskRunning, proto.TaskDone:
+		return t, false, nil
+	default:
+		return t, false, fault.New(fault.Fenced, "plan the job anew", "attempt %d of job %s has ended here: %s", t.key.Attempt, t.key.Job, t.detail)
+	}
+}
+
+// Started notes whether the worker took the task.
+func (l *Ledger) Started(now clock.Millis, key TaskKey, err error) {
+	t, ok := l.tasks[key]
+	if !ok {
+		return
+	}
+	t.starting = false
+	t.startedAt = now
+	if err != nil {
+		l.end(now, t, proto.TaskFailed, fault.Of(err).Detail)
+	}
+}
+
+func (l *Ledger) end(now clock.Millis, t *Task, state proto.TaskState, detail string) {
+	if !t.live() {
+		return
+	}
+	t.state = state
+	t.detail = detail
+	t.endedAt = now
+	l.putFence(now, t.key.gangFence(), true)
+	l.seq++
+}
+
+// Halt decides what a StopMsg means here. run tells that the worker runs the
+// task and must stop it; the caller then says so with Stopped.
+func (l *Ledger) Halt(now clock.Millis, m proto.StopMsg) (run bool, out proto.StoppedMsg, err error) {
+	if err := l.checkIncarnation(m.Incarnation); err != nil {
+		return false, out, err
+	}
+	if err := l.checkEpoch(m.Epoch); err != nil {
+		return false, out, err
+	}
+	key := TaskKey{Job: m.Job, Attempt: m.Attempt, Rank: m.Rank}
+	t, ok := l.tasks[key]
+	l.putFence(now, key.gangFence(), ok && t.state != proto.TaskHeld)
+	if !ok {
+		return false, proto.StoppedMsg{State: proto.TaskStopped}, nil
+	}
+	switch t.state {
+	case proto.TaskHeld:
+		l.release(key)
+		return false, proto.StoppedMsg{State: proto.TaskStopped}, nil
+	case proto.TaskRunning:
+		return true, proto.StoppedMsg{Started: true}, nil
+	default:
+		return false, proto.StoppedMsg{Started: true, State: t.state, Checkpoint: t.checkpoint}, nil
+	}
+}
+
+func (l *Ledger) release(key TaskKey) {
+	delete(l.tasks, key)
+	l.seq++
+}
+
+// Stopped notes that the worker has stopped a task.
+func (l *Ledger) Stopped(now clock.Millis, key TaskKey, checkpoint string) {
+	if t, ok := l.tasks[key]; ok {
+		t.checkpoint = checkpoint
+		l.end(now, t, proto.TaskStopped, "stopped")
+	}
+}
+
+// Observe notes what the worker said, when asked at the instant, of a task it
+// runs or has run. What it said before the task's start is of no account.
+func (l *Ledger) Observe(now, asked clock.Millis, key TaskKey, state proto.TaskState, detail string, usedMB int) {
+	t, ok := l.tasks[key]
+	if !ok || t.starting || t.state != proto.TaskRunning || asked <= t.startedAt {
+		return
+	}
+	t.usedMB = usedMB
+	if state != proto.TaskRunning {
+		l.end(now, t, state, detail)
+	}
+}
+
+// Running lists the tasks that the worker should be running.
+func (l *Ledger) Running() []TaskKey {
+	var out []TaskKey
+	for _, k := range l.sortedTasks() {
+		if l.tasks[k].state == proto.TaskRunning {
+			out = append(out, k)
+		}
+	}
+	return out
+}
+
+// Adopt takes in a task that the worker ran before this life of the agent.
+func (l *Ledger) Adopt(now clock.Millis, key TaskKey, account string, gang int, cell spec.Cell, state proto.TaskState, detail string) {
+	t := &Task{key: key, account: account, gang: gang, cell: cell, state: state, detail: detail}
+	if !t.live() {
+		t.endedAt = now
+	}
+	l.tasks[key] = t
+	l.seq++
+}
+
+// Collect lets go of an ended task.
+func (l *Ledger) Collect(key TaskKey) {
+	if t, ok := l.tasks[key]; ok && !t.live() {
+		l.release(key)
+	}
+}
+
+// Renewals lists the running tasks whose lease at the worker goes on. A task
+// of a gang over several workers is left out once no entry has been heard for
+// a while: the rest of the gang may have been ended.
+func (l *Ledger) Renewals(now, contact clock.Millis) []string {
+	var out []string
+	for _, k := range l.sortedTasks() {
+		t := l.tasks[k]
+		cutOff := t.gang > 1 && now-contact > ContactWindow
+		if t.state == proto.TaskRunning && !cutOff {
+			out = append(out, k.ID())
+		}
+	}
+	return out
+}
+
+// Doubts lists held tasks whose hold has run out; each is listed once until
+// Resolved is called for it.
+func (l *Ledger) Doubts(now clock.Millis) []TaskKey {
+	var out []TaskKey
+	for _, k := range l.sortedTasks() {
+		t := l.tasks[k]
+		if t.state == proto.TaskHeld && !t.asking && now > t.heldUntil {
+			t.asking = true
+			out = append(out, k)
+		}
+	}
+	return out
+}
+
+// Resolved says what the gang's record holds for a task in doubt. A committed
+// one may start; an aborted one is let go; without an answer it stays held.
+func (l *Ledger) Resolved(now clock.Millis, key TaskKey, reply proto.ResolvedMsg, err error) (start bool) {
+	t, ok := l.tasks[key]
+	if !ok || t.state != proto.TaskHeld {
+		return false
+	}
+	t.asking = false
+	if err != nil {
+		return false
+	}
+	if !reply.Committed {
+		l.putFence(now, key.gangFence(), false)
+		l.release(key)
+		return false
+	}
+	_, start, _ = l.start(t)
+	return start
+}
+
+// endedKeep is how long an ended task waits to be collected.
+const endedKeep = clock.Hour
+
+func (l *Ledger) sweepTasks(now clock.Millis) {
+	for k, t := range l.tasks {
+		if !t.live() && now-t.endedAt > endedKeep {
+			l.release(k)
+		}
+	}
+}
+
+// Account is the client account whose task it is.
+func (t *Task) Account() string { return t.account }
+
+// Gang is the number of workers that the task's gang runs on.
+func (t *Task) Gang() int { return t.gang }
--- /dev/null
+++ b/core/life/life.go
@@ -0,0 +1,128 @@
+// Package life has the life cycles of jobs and endpoints as state machines.
+//
+// Records keep only the state's name; Next rebuilds the machine around it and
+// fires one trigger, so every transition in the system is one this page draws:
+//
+//	state, err := life.Jobs.Next(spec.Queued, life.Commit) // committed
+package life
+
+import (
+	"github.com/qmuntal/stateless"
+
+	"gypsumcrank/core/fault"
+	"gypsumcrank/core/spec"
+)
+
+// Trigger is what makes a state change.
+type Trigger string
+
+// Triggers of a job.
+const (
+	Commit  Trigger = "commit"
+	Start   Trigger = "start"
+	Halt    Trigger = "halt"
+	Requeue Trigger = "requeue"
+	Finish  Trigger = "finish"
+	Fail    Trigger = "fail"
+	Cancel  Trigger = "cancel"
+	Lose    Trigger = "lose"
+)
+
+// EndpointState is an endpoint's place in its life, as an entry sees it.
+type EndpointState string
+
+// The states of an endpoint.
+const (
+	Ready       EndpointState = "ready"
+	Leaving     EndpointState = "leaving"
+	Silent      EndpointState = "silent"
+	Quarantined EndpointState = "quarantined"
+	Probing     EndpointState = "probing"
+	Gone        EndpointState = "gone"
+)
+
+// Triggers of an endpoint.
+const (
+	Report     Trigger = "report"
+	Leave      Trigger = "leave"
+	Silence    Trigger = "silence"
+	Quarantine Trigger = "quarantine"
+	Probe      Trigger = "probe"
+	Remove     Trigger = "remove"
+)
+
+// Cycle is a life cycle over states of type S.
+type Cycle[S comparable] struct {
+	draw func(*stateless.StateMachine)
+}
+
+// Jobs is the life cycle of a job.
+var Jobs = Cycle[spec.JobState]{draw: drawJob}
+
+// Endpoints is the life cycle of an endpoint.
+var Endpoints = Cycle[EndpointState]{draw: drawEndpoint}
+
+// Next gives the state that trigger leads to. It returns a conflict error
+// where the life cycle draws no such transition.
+func (c Cycle[S]) Next(from S, trigger Trigger) (S, error) {
+	m := stateless.NewStateMachine(from)
+	c.draw(m)
+	if err := m.Fire(trigger); err != nil {
+		return from, fault.New(fault.Conflict, "read the current state and decide again", "%v does not lead on from %v", trigger, from)
+	}
+	return m.MustState().(S), nil
+}
+
+// Can tells whether trigger leads on from the state.
+func (c Cycle[S]) Can(from S, trigger Trigger) bool {
+	_, err := c.Next(from, trigger)
+	return err == nil
+}
+
+func drawJob(m *stateless.StateMachine) {
+	m.Configure(spec.Queued).
+		Permit(Commit, spec.Committed).
+		Permit(Fail, spec.Failed).
+		Permit(Cancel, spec.Cancelled)
+	m.Configure(spec.Committed).
+		Permit(Start, spec.Running).
+		Permit(Halt, spec.Stopping).
+		Permit(Finish, spec.Done)
+	m.Configure(spec.Running).
+		Permit(Halt, spec.Stopping).
+		Permit(Finish, spec.Done).
+		Permit(Fail, spec.Failed)
+	m.Configure(spec.Stopping).
+		Permit(Requeue, spec.Queued).
+		Permit(Finish, spec.Done).
+		Permit(Fail, spec.Failed).
+		Permit(Cancel, spec.Cancelled).
+		Permit(Lose, spec.InDoubt)
+}
+
+func drawEndpoint(m *stateless.StateMachine) {
+	m.Configure(Ready).
+		PermitReentry(Report).
+		Permit(Leave, Leaving).
+		Permit(Silence, Silent).
+		Permit(Quarantine, Quarantined)
+	m.Configure(Leaving).
+		PermitReentry(Leave).
+		Permit(Report, Ready).
+		Permit(Silence, Silent).
+		Permit(Remove, Gone)
+	m.Configure(Silent).
+		Permit(Report, Ready).
+		Permit(Leave, Leaving).
+		Permit(Remove, Gone)
+	m.Configure(Quarantined).
+		PermitReentry(Report).
+		Permit(Probe, Probing).
+		Permit(Leave, Leaving).
+		Permit(Silence, Silent)
+	m.Configure(Probing).
+		Permit(Report, Ready).
+		Permit(Quarantine, Quarantined).
+		Permit(Leave, Leaving).
+		Permit(Silence, Silent)
+}
--- /dev/null
+++ b/core/queue/queue_test.go
@@ -0,0 +1,93 @@
+package queue_test
+
+import (
+	"fmt"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+	"pgregory.net/rapid"
+
+	"gypsumcrank/core/clock"
+	"gypsumcrank/core/fault"
+	"gypsumcrank/core/queue"
+)
+
+func any1(*queue.Item[int]) bool { return true }
+func drop(*queue.Item[int])      {}
+
+// The account with one request does not wait behind the one with many.
+func ExampleQueue() {
+	q := queue.New[int]()
+	for i := range 3 {
+		_ = q.Push(0, &queue.Item[int]{Account: "many", Rank: 1, Value: i}, 10)
+	}
+	_ = q.Push(0, &queue.Item[int]{Account: "one", Rank: 1, Value: 100}, 10)
+	for q.Len() > 0 {
+		it, _ := q.Pop(0, any1, drop)
+		fmt.Print(it.Account, it.Value, " ")
+	}
+	// Output: many0 one100 many1 many2
+}
+
+func TestBoundsLateAndUrgentFirst(t *testing.T) {
+	c := qt.New(t)
+	q := queue.New[int]()
+	for i := range 2 {
+		c.Assert(q.Push(0, &queue.Item[int]{Account: "a", Rank: 2, Deadline: 10, Value: i}, 2), qt.IsNil)
+	}
+	err := q.Push(0, &queue.Item[int]{Account: "a", Rank: 0}, 2)
+	c.Assert(fault.Is(err, fault.Busy), qt.IsTrue)
+	c.Assert(fault.Of(err).RetryAfter > 0, qt.IsTrue)
+	c.Assert(q.Push(0, &queue.Item[int]{Account: "b", Rank: 0, Value: 7}, 2), qt.IsNil)
+	it, ok := q.Pop(20, any1, drop)
+	c.Assert(ok && it.Value == 7, qt.IsTrue)
+	lates := 0
+	_, ok = q.Pop(20, any1, func(*queue.Item[int]) { lates++ })
+	c.Assert(ok, qt.IsFalse)
+	c.Assert(lates, qt.Equals, 2)
+	c.Assert(q.Len(), qt.Equals, 0)
+}
+
+// Whatever is pushed leaves exactly once: popped, late or removed.
+func TestEveryItemLeavesOnce(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		q := queue.New[int]()
+		left := map[int]int{}
+		var pushed []*queue.Item[int]
+		now := clock.Millis(0)
+		for i := range rapid.IntRange(1, 60).Draw(t, "steps") {
+			now += clock.Millis(rapid.IntRange(0, 5).Draw(t, "gap"))
+			switch rapid.IntRange(0, 3).Draw(t, "step") {
+			case 0, 1:
+				it := &queue.Item[int]{Account: rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "account"), Rank: rapid.IntRange(0, 2).Draw(t, "rank"), Value: i}
+				if rapid.Bool().Draw(t, "has deadline") {
+					it.Deadline = now + 3
+				}
+				if q.Push(now, it, 5) == nil {
+					pushed = append(pushed, it)
+				}
+			case 2:
+				if it, ok := q.Pop(now, any1, func(it *queue.Item[int]) { left[it.Value]++ }); ok {
+					left[it.Value]++
+				}
+			case 3:
+				if len(pushed) > 0 {
+					it := rapid.SampledFrom(pushed).Draw(t, "item")
+					if q.Remove(it) {
+						left[it.Value]++
+					}
+				}
+			}
+		}
+		for q.Len() > 0 {
+			if it, ok := q.Pop(now, any1, func(it *queue.Item[int]) { left[it.Value]++ }); ok {
+				left[it.Value]++
+			}
+		}
+		for _, it := range pushed {
+			if left[it.Value] != 1 {
+				t.Fatalf("item %d left %d times", it.Value, left[it.Value])
+			}
+		}
+	})
+}
--- /dev/null
+++ b/core/retry/retry_test.go
@@ -0,0 +1,46 @@
+package retry_test
+
+import (
+	"fmt"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"gypsumcrank/core/clock"
+	"gypsumcrank/core/retry"
+)
+
+// Without successes a budget is soon spent.
+func ExampleBudget() {
+	b := retry.New()
+	n := 0
+	for b.Spend() {
+		n++
+	}
+	fmt.Println(n)
+	for range 10 {
+		b.Success()
+	}
+	fmt.Println(b.Spend(), b.Spend())
+	// Output:
+	// 5
+	// true false
+}
+
+func TestWaitsAndRates(t *testing.T) {
+	c := qt.New(t)
+	b := retry.Backoff{First: 100, Most: 1000}
+	for range 20 {
+		w := b.Next()
+		c.Assert(w >= 50 && w <= 1501, qt.IsTrue)
+	}
+	r := retry.Rate{PerSecond: 5}
+	now, taken := clock.Millis(1000000), 0
+	for range 3000 {
+		now++
+		if r.Take(now) {
+			taken++
+		}
+	}
+	c.Assert(taken >= 15 && taken <= 21, qt.IsTrue, qt.Commentf("%d", taken))
+}
--- /dev/null
+++ b/core/sched/plan.go
@@ -0,0 +1,249 @@
+package sched
+
+import (
+	"fmt"
+	"sort"
+
+	"gypsumcrank/core/clock"
+	"gypsumcrank/core/fault"
+	"gypsumcrank/core/spec"
+)
+
+// Make decides what should happen now under a policy.
+func Make[P Policy](p P, s State) Plan {
+	v := newView(s)
+	m := &maker{v: v, policy: p, state: s}
+	m.run()
+	return m.plan
+}
+
+// maker goes through the waiting jobs in order and places what it can.
+type maker struct {
+	v      *view
+	policy Policy
+	state  State
+	plan   Plan
+	held   []uint64
+	heldAt clock.Millis
+}
+
+func (m *maker) run() {
+	for _, st := range m.ordered() {
+		m.one(st)
+	}
+}
+
+func (m *maker) ordered() []Standing {
+	b := m.v.bind()
+	out := make([]Standing, 0, len(m.state.Waiting))
+	for _, w := range m.state.Waiting {
+		st := Standing{Waiting: w, Borrowed: b.borrowed[w.Account]}
+		if cells, ok := m.v.smallest(w.Job); ok && b.unbound[w.Account] != nil {
+			left := b.unused(w.Account)
+			st.Entitled = left.takeAll(cells)
+		}
+		out = append(out, st)
+	}
+	sort.SliceStable(out, func(i, j int) bool { return m.before(out[i], out[j]) })
+	return out
+}
+
+// before puts jobs first whose cells are being cleared.
+func (m *maker) before(a, b Standing) bool {
+	if pa, pb := len(a.Promised) > 0, len(b.Promised) > 0; pa != pb {
+		return pa
+	}
+	return m.policy.Before(a, b)
+}
+
+func (m *maker) one(st Standing) {
+	w := st.Waiting
+	if len(w.Promised) > 0 {
+		m.redeem(st)
+		return
+	}
+	for _, q := range m.searches(st) {
+		t, ok := m.v.find(q, w)
+		switch {
+		case !ok:
+		case !t.free():
+			m.reclaim(w, t)
+			return
+		default:
+			m.start(w, t, "fits free cells")
+			return
+		}
+	}
+	m.wait(st)
+}
+
+// searches lists the ways to place a job, best first. An entitled job takes
+// free cells inside its guarantee, then evicts for them, then takes any cells.
+func (m *maker) searches(st Standing) []search {
+	free := search{policy: m.policy, held: m.barred(st.Waiting)}
+	clear := search{policy: m.policy, may: m.evicts(st)}
+	if !st.Entitled {
+		return []search{free, clear}
+	}
+	freeIn := search{policy: m.policy, must: true, thrifty: true}
+	clearIn := search{policy: m.policy, must: true, thrifty: true, may: clear.may}
+	clearAny := search{policy: m.policy, must: true, may: clear.may}
+	return []search{freeIn, clearIn, clearAny, free}
+}
+
+// redeem places a job on the cells that were cleared for it, once they are free.
+func (m *maker) redeem(st Standing) {
+	w := st.Waiting
+	for _, u := range w.Promised {
+		i, ok := m.v.index[u.Agent]
+		if !ok || !m.v.workers[i].Usable {
+			m.v.release(w)
+			st.Promised = nil
+			m.one(st)
+			return
+		}
+		if m.v.busy[i]&mask(u.Cell) != 0 {
+			m.plan.Waits = append(m.plan.Waits, Wait{ID: w.ID, Reason: "waits for evicted jobs to leave its cells"})
+			return
+		}
+	}
+	m.v.release(w)
+	m.started(w, w.Promised)
+	m.plan.Placements = append(m.plan.Placements, Placement{ID: w.ID, Cells: w.Promised, Reason: "its reclaimed cells are free"})
+}
+
+func (m *maker) started(w Waiting, cells []Use) {
+	m.v.add(Running{ID: w.ID, Account: w.Account, Job: w.Job, Cells: cells, StartedAt: m.v.now})
+}
+
+func (m *maker) start(w Waiting, t *trial, reason string) {
+	m.started(w, t.cells)
+	m.plan.Placements = append(m.plan.Placements, Placement{ID: w.ID, Cells: t.cells, Reason: reason})
+}
+
+// reclaim has the victims leave and keeps their cells for the job.
+func (m *maker) reclaim(w Waiting, t *trial) {
+	victims := t.victimList()
+	for _, id := range victims {
+		r := m.v.jobs[id]
+		r.Stopping = true
+		m.v.jobs[id] = r
+	}
+	m.v.promise(w, t.cells)
+	m.plan.Placements = append(m.plan.Placements, Placement{
+		ID: w.ID, Cells: t.cells, Victims: victims, Promised: true,
+		Reason: fmt.Sprintf("evicts %d jobs for its account's guarantee", len(victims)),
+	})
+}
+
+// evicts says which running jobs may be evicted for a waiting one: borrowed
+// ones for an entitled job, and lower classes of the same account.
+func (m *maker) evicts(st Standing) func(Running) bool {
+	covered := m.v.bind().covered
+	return func(r Running) bool {
+		if r.Stopping || !r.Job.Evictable() {
+			return false
+		}
+		lower := r.Account == st.Account && r.Job.Class.Rank() > st.Job.Class.Rank()
+		return lower || (st.Entitled && !covered[r.ID])
+	}
+}
+
+// wait says why the job waits, and holds cells for it if it has waited long.
+func (m *maker) wait(st Standing) {
+	reason := "no free cells of its shape, and nothing borrowed that may be evicted for it"
+	if !st.Entitled {
+		reason = "outside its account's guarantee, and no free cells of its shape that no guarantee needs"
+	}
+	if m.held == nil && m.policy.Holds(m.v.now-st.QueuedAt) {
+		if at, ok := m.hold(st.Waiting); ok {
+			reason += fmt.Sprintf("; cells are held for it, expected in %s", at-m.v.now)
+		}
+	}
+	m.plan.Waits = append(m.plan.Waits, Wait{ID: st.ID, Reason: reason})
+}
+
+// hold finds the earliest time at which the job should fit, by the estimates
+// of the running jobs, and keeps the cells it would take from jobs that would
+// still be there then.
+func (m *maker) hold(w Waiting) (clock.Millis, bool) {
+	ends := m.ends()
+	later := newView(State{Now: m.v.now, Workers: m.v.workers, Guarantees: m.v.guarantees})
+	for _, r := range m.v.jobs {
+		later.add(r)
+	}
+	for _, e := range ends {
+		later.remove(e.id)
+		if t, ok := later.find(search{policy: m.policy}, w); ok {
+			m.held = make([]uint64, len(m.v.workers))
+			m.heldAt = e.at
+			for _, u := range t.cells {
+				m.held[m.v.index[u.Agent]] |= mask(u.Cell)
+			}
+			return e.at, true
+		}
+	}
+	return 0, false
+}
+
+type expectedEnd struct {
+	id string
+	at clock.Millis
+}
+
+// noEstimate is taken for jobs that name no run time.
+const noEstimate = clock.Hour
+
+func (m *maker) ends() []expectedEnd {
+	out := make([]expectedEnd, 0, len(m.v.jobs))
+	for id, r := range m.v.jobs {
+		out = append(out, expectedEnd{id: id, at: max(m.v.now, r.StartedAt+estimate(r.Job))})
+	}
+	sort.Slice(out, func(i, j int) bool {
+		if out[i].at != out[j].at {
+			return out[i].at < out[j].at
+		}
+		return out[i].id < out[j].id
+	})
+	return out
+}
+
+func estimate(j spec.Job) clock.Millis {
+	if j.Estimate <= 0 {
+		return noEstimate
+	}
+	return j.Estimate
+}
+
+// barred gives the held cells, for a job that would still be there when they
+// are needed.
+func (m *maker) barred(w Waiting) []uint64 {
+	if m.held == nil || m.v.now+estimate(w.Job) <= m.heldAt {
+		return nil
+	}
+	return m.held
+}
+
+// Feasible refuses a job that could not run on these workers even if nothing
+// else did, within what the guarantees of others leave it.
+func Feasible(w Waiting, s State) error {
+	workers := make([]Worker, len(s.Workers))
+	copy(workers, s.Workers)
+	for i := range workers {
+		workers[i].Usable = true
+	}
+	alone := newView(State{Now: s.Now, Workers: workers})
+	if _, ok := alone.find(search{policy: FirstFit{}}, w); !ok {
+		return fault.New(fault.Infeasible, "ask for fewer or smaller tasks, or drop adjacent", "%d tasks of %d accelerators, %d processors and %d MB do not fit the workers that there are", w.Job.Tasks, w.Job.Accelerators, w.Job.Processors, w.Job.MemoryMB).
+			WithOutcome(fault.NotRun).WithLacking("worker capacity")
+	}
+	if w.Job.Evictable() {
+		return nil
+	}
+	promised := newView(State{Now: s.Now, Workers: workers, Guarantees: s.Guarantees})
+	if _, ok := promised.find(search{policy: FirstFit{}}, w); !ok {
+		return fault.New(fault.Infeasible, "raise the account's guarantee, or let the job checkpoint", "a job that can be neither repeated nor checkpointed needs its account's guarantee or capacity that no guarantee needs, and there is not enough of either").
+			WithOutcome(fault.NotRun).WithLacking("guaranteed capacity")
+	}
+	return nil
+}
--- /dev/null
+++ b/core/sched/sched_test.go
@@ -0,0 +1,277 @@
+package sched_test
+
+import (
+	"fmt"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+	"pgregory.net/rapid"
+
+	"gypsumcrank/core/clock"
+	"gypsumcrank/core/conf"
+	"gypsumcrank/core/fault"
+	"gypsumcrank/core/sched"
+	"gypsumcrank/core/spec"
+)
+
+// workers makes n workers of 8 accelerators, three to a rack.
+func workers(n int) []sched.Worker {
+	var out []sched.Worker
+	for i := range n {
+		out = append(out, sched.Worker{
+			Place: spec.Place{Agent: fmt.Sprintf("a%02d", i)}, Name: fmt.Sprintf("w%02d", i), Rack: fmt.Sprintf("r%d", i/3), DataCentre: "d1",
+			Accelerators: 8, Processors: 128, MemoryMB: 250000, Usable: true,
+		})
+	}
+	return out
+}
+
+func block(accelerators, count int) []conf.Block {
+	return []conf.Block{{Accelerators: accelerators, Count: count}}
+}
+
+// cluster applies plans the way a planner does, at once.
+type cluster struct {
+	state sched.State
+	next  int
+	// forget drops evicted jobs instead of queueing them again.
+	forget bool
+}
+
+func (c *cluster) submit(account string, j spec.Job) string {
+	c.next++
+	id := fmt.Sprintf("j%03d", c.next)
+	c.state.Waiting = append(c.state.Waiting, sched.Waiting{ID: id, Account: account, Job: j, QueuedAt: c.state.Now})
+	return id
+}
+
+func (c *cluster) running(id string) bool {
+	for _, r := range c.state.Running {
+		if r.ID == id {
+			return true
+		}
+	}
+	return false
+}
+
+// round makes one plan and carries it out; victims leave at once.
+func (c *cluster) round() sched.Plan {
+	plan := sched.Make(sched.Product{}, c.state)
+	for _, p := range plan.Placements {
+		if p.Promised {
+			c.evict(p)
+			continue
+		}
+		c.start(p)
+	}
+	return plan
+}
+
+func (c *cluster) evict(p sched.Placement) {
+	for _, v := range p.Victims {
+		for i, r := range c.state.Running {
+			if r.ID == v {
+				c.state.Running = append(c.state.Running[:i:i], c.state.Running[i+1:]...)
+				if c.forget {
+					break
+				}
+				c.state.Waiting = append(c.state.Waiting, sched.Waiting{ID: r.ID, Account: r.Account, Job: r.Job, QueuedAt: c.state.Now})
+				break
+			}
+		}
+	}
+	for i := range c.state.Waiting {
+		if c.state.Waiting[i].ID == p.ID {
+			c.state.Waiting[i].Promised = p.Cells
+		}
+	}
+}
+
+func (c *cluster) start(p sched.Placement) {
+	for i, w := range c.state.Waiting {
+		if w.ID == p.ID {
+			c.state.Waiting = append(c.state.Waiting[:i:i], c.state.Waiting[i+1:]...)
+			c.state.Running = append(c.state.Running, sched.Running{ID: w.ID, Account: w.Account, Job: w.Job, Cells: p.Cells, StartedAt: c.state.Now})
+			return
+		}
+	}
+}
+
+func (c *cluster) finish(i int) {
+	c.state.Running = append(c.state.Running[:i:i], c.state.Running[i+1:]...)
+}
+
+func (c *cluster) show() string {
+	out := ""
+	for _, w := range c.state.Waiting {
+		out += fmt.Sprintf("%s of %s waits for %dx%d, promised %v\n", w.ID, w.Account, w.Job.Tasks, w.Job.Accelerators, w.Promised)
+	}
+	for _, r := range c.state.Running {
+		out += fmt.Sprintf("%s of %s evictable=%v %v\n", r.ID, r.Account, r.Job.Evictable(), r.Cells)
+	}
+	return out
+}
+
+func overlap(s sched.State) string {
+	for i, a := range s.Running {
+		for _, b := range s.Running[i+1:] {
+			for _, ua := range a.Cells {
+				for _, ub := range b.Cells {
+					if ua.Agent == ub.Agent && ua.Cell.Overlaps(ub.Cell) {
+						return a.ID + " and " + b.ID + " overlap on " + ua.Agent
+					}
+				}
+			}
+		}
+	}
+	return ""
+}
+
+func TestGuaranteeIsReclaimedFromBorrowers(t *testing.T) {
+	c := qt.New(t)
+	cl := &cluster{state: sched.State{Workers: workers(2), Guarantees: map[string][]conf.Block{"owner": block(8, 1)}}}
+	for range 4 {
+		cl.submit("guest", spec.Job{Tasks: 1, Accelerators: 4, Checkpoints: true})
+	}
+	cl.round()
+	c.Assert(cl.state.Running, qt.HasLen, 4)
+	id := cl.submit("owner", spec.Job{Tasks: 1, Accelerators: 8})
+	plan := cl.round()
+	c.Assert(plan.Placements[0].Victims, qt.HasLen, 2)
+	cl.round()
+	c.Assert(cl.running(id), qt.IsTrue)
+	c.Assert(overlap(cl.state), qt.Equals, "")
+}
+
+func TestWorkThatCannotLeaveStaysOffPromisedCells(t *testing.T) {
+	c := qt.New(t)
+	s := sched.State{Workers: workers(2), Guarantees: map[string][]conf.Block{"owner": block(8, 1)}}
+	cl := &cluster{state: s}
+	for range 4 {
+		cl.submit("guest", spec.Job{Tasks: 1, Accelerators: 4})
+	}
+	plan := cl.round()
+	c.Assert(cl.state.Running, qt.HasLen, 2)
+	c.Assert(plan.Waits, qt.HasLen, 2)
+	c.Assert(sched.Unmet(cl.state), qt.Equals, 0)
+
+	err := sched.Feasible(sched.Waiting{Account: "guest", Job: spec.Job{Tasks: 2, Accelerators: 8}}, s)
+	c.Assert(fault.Is(err, fault.Infeasible), qt.IsTrue)
+	err = sched.Feasible(sched.Waiting{Account: "guest", Job: spec.Job{Tasks: 2, Accelerators: 8, Checkpoints: true}}, s)
+	c.Assert(err, qt.IsNil)
+	err = sched.Feasible(sched.Waiting{Account: "guest", Job: spec.Job{Tasks: 1, Accelerators: 16}}, s)
+	c.Assert(fault.Is(err, fault.Infeasible), qt.IsTrue)
+}
+
+// Two guarantees that are each free but not both at once: the proof is over
+// all of them together.
+func TestTwoGuaranteesAtOnce(t *testing.T) {
+	c := qt.New(t)
+	cl := &cluster{state: sched.State{Workers: workers(1), Guarantees: map[string][]conf.Block{"a": block(4, 1), "b": block(4, 1)}}}
+	cl.submit("guest", spec.Job{Tasks: 1, Accelerators: 1})
+	cl.round()
+	c.Assert(cl.state.Running, qt.HasLen, 0)
+	cl.submit("guest", spec.Job{Tasks: 1, Accelerators: 1, Idempotent: true})
+	cl.round()
+	c.Assert(cl.state.Running, qt.HasLen, 1)
+}
+
+func TestAdjacentGangStaysInOneRackAndSmallJobsKeepBlocksWhole(t *testing.T) {
+	c := qt.New(t)
+	cl := &cluster{state: sched.State{Workers: workers(6)}}
+	for range 3 {
+		cl.submit("a", spec.Job{Tasks: 1, Accelerators: 2, Idempotent: true})
+	}
+	cl.round()
+	c.Assert(sched.Fragmentation(cl.state), qt.Equals, 0.0)
+	id := cl.submit("a", spec.Job{Tasks: 3, Accelerators: 8, Adjacent: true})
+	cl.round()
+	c.Assert(cl.running(id), qt.IsTrue)
+	big := cl.submit("a", spec.Job{Tasks: 3, Accelerators: 8, Adjacent: true})
+	plan := cl.round()
+	c.Assert(cl.running(big), qt.IsFalse)
+	c.Assert(plan.Waits, qt.HasLen, 1)
+}
+
+func drawJob(t *rapid.T) spec.Job {
+	return spec.Job{
+		Tasks:        rapid.IntRange(1, 4).Draw(t, "tasks"),
+		Accelerators: rapid.SampledFrom([]int{1, 2, 3, 4, 8}).Draw(t, "accelerators"),
+		Adjacent:     rapid.Bool().Draw(t, "adjacent"),
+		Idempotent:   rapid.Bool().Draw(t, "idempotent"),
+		Checkpoints:  rapid.Bool().Draw(t, "checkpoints"),
+		Class:        rapid.SampledFrom([]spec.Class{spec.Urgent, spec.Normal, spec.Batch}).Draw(t, "class"),
+		Estimate:     clock.Millis(rapid.IntRange(0, 100000).Draw(t, "estimate")),
+	}
+}
+
+// After every step of any history all unused guarantees can be had at the same
+// time, and they are had when they are asked for.
+func TestUnusedGuaranteesCanAlwaysBeHadTogether(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		cl := &cluster{state: sched.State{Workers: workers(3), Guarantees: map[string][]conf.Block{
+			"a": block(8, 1), "b": block(4, 2), "c": block(2, 2),
+		}}}
+		for range rapid.IntRange(1, 25).Draw(t, "steps") {
+			cl.state.Now += clock.Millis(rapid.IntRange(0, 200000).Draw(t, "gap"))
+			switch {
+			case len(cl.state.Running) > 0 && rapid.IntRange(0, 2).Draw(t, "step") == 0:
+				cl.finish(rapid.IntRange(0, len(cl.state.Running)-1).Draw(t, "which"))
+			default:
+				cl.submit(rapid.SampledFrom([]string{"a", "b", "c", "guest"}).Draw(t, "account"), drawJob(t))
+			}
+			cl.round()
+			if n := sched.Unmet(cl.state); n != 0 {
+				t.Fatalf("%d accelerators of guarantees can't be had:\n%s", n, cl.show())
+			}
+			if bad := overlap(cl.state); bad != "" {
+				t.Fatal(bad)
+			}
+		}
+		cl.askForAll(t)
+	})
+}
+
+// askForAll drops what waits and has each account ask for its unused shapes.
+// Evicted jobs do not come back, for an account's own would use its shapes up.
+func (c *cluster) askForAll(t *rapid.T) {
+	c.state.Waiting = nil
+	c.forget = true
+	var ids []string
+	unused := sched.Unused(c.state)
+	for _, account := range []string{"a", "b", "c"} {
+		for _, n := range unused[account] {
+			ids = append(ids, c.submit(account, spec.Job{Tasks: 1, Accelerators: n, Class: spec.Urgent}))
+		}
+	}
+	var last sched.Plan
+	for range 2*len(ids) + 2 {
+		last = c.round()
+	}
+	for _, id := range ids {
+		if !c.running(id) {
+			t.Fatalf("guaranteed shape %s was not had: %+v\n%s", id, last, c.show())
+		}
+	}
+}
+
+func BenchmarkMake(b *testing.B) {
+	for _, n := range []int{10, 50, 150, 450} {
+		b.Run(fmt.Sprintf("workers=%d", n), func(b *testing.B) {
+			cl := &cluster{state: sched.State{Workers: workers(n), Guarantees: map[string][]conf.Block{}}}
+			for a := range 41 {
+				cl.state.Guarantees[fmt.Sprintf("t%d", a)] = block(8, n/50)
+			}
+			for i := range n {
+				cl.submit(fmt.Sprintf("t%d", i%41), spec.Job{Tasks: 1 + i%8, Accelerators: 1 << (i % 4), Checkpoints: true})
+			}
+			cl.round()
+			cl.state.Waiting = nil
+			cl.submit("t1", spec.Job{Tasks: 32, Accelerators: 8, Class: spec.Urgent, Checkpoints: true})
+			b.ResetTimer()
+			for b.Loop() {
+				sched.Make(sched.Product{}, cl.state)
+			}
+		})
+	}
+}
--- /dev/null
+++ b/core/sched/view.go
@@ -0,0 +1,182 @@
+package sched
+
+import (
+	"math/bits"
+	"sort"
+
+	"gypsumcrank/core/clock"
+	"gypsumcrank/core/conf"
+	"gypsumcrank/core/spec"
+)
+
+// view is a State that a plan is tried out on.
+type view struct {
+	now        clock.Millis
+	workers    []Worker
+	index      map[string]int
+	busy       []uint64
+	promised   []uint64
+	jobs       map[string]Running
+	guarantees map[string][]conf.Block
+	racks      [][]int
+	centres    [][]int
+	all        []int
+}
+
+func newView(s State) *view {
+	v := &view{
+		now:        s.Now,
+		workers:    s.Workers,
+		index:      make(map[string]int, len(s.Workers)),
+		busy:       make([]uint64, len(s.Workers)),
+		promised:   make([]uint64, len(s.Workers)),
+		jobs:       make(map[string]Running, len(s.Running)),
+		guarantees: s.Guarantees,
+	}
+	for i, w := range s.Workers {
+		v.index[w.Place.Agent] = i
+		v.all = append(v.all, i)
+	}
+	v.racks = v.group(func(w Worker) string { return w.DataCentre + "/" + w.Rack })
+	v.centres = v.group(func(w Worker) string { return w.DataCentre })
+	for _, r := range s.Running {
+		v.add(r)
+	}
+	for _, w := range s.Waiting {
+		if len(w.Promised) > 0 {
+			v.promise(w, w.Promised)
+		}
+	}
+	return v
+}
+
+func (v *view) group(key func(Worker) string) [][]int {
+	byKey := make(map[string][]int)
+	var names []string
+	for i, w := range v.workers {
+		k := key(w)
+		if len(byKey[k]) == 0 {
+			names = append(names, k)
+		}
+		byKey[k] = append(byKey[k], i)
+	}
+	sort.Strings(names)
+	out := make([][]int, 0, len(names))
+	for _, n := range names {
+		out = append(out, byKey[n])
+	}
+	return out
+}
+
+func (v *view) add(r Running) {
+	v.jobs[r.ID] = r
+	v.mark(r.Cells, true)
+}
+
+func (v *view) remove(id string) {
+	v.mark(v.jobs[id].Cells, false)
+	delete(v.jobs, id)
+}
+
+func (v *view) mark(cells []Use, on bool) {
+	for _, u := range cells {
+		if i, ok := v.index[u.Agent]; ok {
+			v.busy[i] = set(v.busy[i], u.Cell, on)
+		}
+	}
+}
+
+// promise counts a job as if it ran in cells that are being cleared for it, so
+// that the proof for all others holds when it does.
+func (v *view) promise(w Waiting, cells []Use) {
+	v.jobs[w.ID] = Running{ID: w.ID, Account: w.Account, Job: w.Job, Cells: cells, StartedAt: v.now}
+	v.markPromised(cells, true)
+}
+
+func (v *view) release(w Waiting) {
+	v.markPromised(v.jobs[w.ID].Cells, false)
+	delete(v.jobs, w.ID)
+}
+
+func (v *view) markPromised(cells []Use, on bool) {
+	for _, u := range cells {
+		if i, ok := v.index[u.Agent]; ok {
+			v.promised[i] = set(v.promised[i], u.Cell, on)
+		}
+	}
+}
+
+func set(m uint64, c spec.Cell, on bool) uint64 {
+	if on {
+		return m | mask(c)
+	}
+	return m &^ mask(c)
+}
+
+// CellSize is the size of the cell that one task needs on a worker: enough
+// accelerators, and with them their share of processors and memory, so that no
+// task can take more than its cell. It is 0 where the task does not fit.
+func CellSize(j spec.Job, w Worker) int {
+	n := units(w)
+	if j.Accelerators > w.Accelerators {
+		return 0
+	}
+	need := max(1, j.Accelerators, share(j.Processors, w.Processors, n), share(j.MemoryMB, w.MemoryMB, n))
+	size := 1 << bits.Len(uint(need-1))
+	if size > n {
+		return 0
+	}
+	return size
+}
+
+func share(want, have, n int) int {
+	switch {
+	case want == 0:
+		return 0
+	case want > have:
+		return n + 1
+	default:
+		return (want*n + have - 1) / have
+	}
+}
+
+// blockAround is the size of the largest free aligned block around a cell.
+func blockAround(busy uint64, c spec.Cell, n int) int {
+	size := c.Size
+	for size < n {
+		first := c.First &^ (2*size - 1)
+		if busy&mask(spec.Cell{First: first, Size: 2 * size}) != 0 {
+			break
+		}
+		size *= 2
+	}
+	return size
+}
+
+// Fragmentation is how far the free accelerators are from lying in one block:
+// 1 - largest adjacent free block / largest block that as many could form.
+func Fragmentation(s State) float64 {
+	v := newView(s)
+	largest, free, most := 0, 0, 0
+	for i, w := range v.workers {
+		if !w.Usable {
+			continue
+		}
+		n := units(w)
+		var have sizes
+		countBlocks(v.busy[i], 0, n, &have)
+		free += n - bits.OnesCount64(v.busy[i])
+		most = max(most, n)
+		for l := range have {
+			if have[l] > 0 {
+				largest = max(largest, 1<<l)
+			}
+		}
+	}
+	could := min(free, most)
+	if could == 0 {
+		return 0
+	}
+	block := 1 << (bits.Len(uint(could)) - 1)
+	return 1 - float64(largest)/float64(block)
+}
--- /dev/null
+++ b/io/endpt/endpt.go
@@ -0,0 +1,227 @@
+// Package endpt is the agent's client of the endpoint beside it and the
+// worker under that, over HTTP.
+//
+// Each call names the attempt and an instant after which nothing may start, so
+// that a call that was held up is refused where the work would run. Errors say
+// what is known about the run.
+package endpt
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"gypsumcrank/core/clock"
+	"gypsumcrank/core/fault"
+	"gypsumcrank/core/proto"
+	"gypsumcrank/core/spec"
+)
+
+// Headers of the endpoint's protocol.
+const (
+	headerRequest  = "Gypsumcrank-Request"
+	headerAttempt  = "Gypsumcrank-Attempt"
+	headerNotAfter = "Gypsumcrank-Not-After-Ms"
+	headerNotRun   = "Gypsumcrank-Not-Run"
+)
+
+const (
+	dialTimeout = time.Second
+	callTimeout = 5 * time.Second
+)
+
+// Client calls one endpoint. Make it with New.
+type Client struct {
+	http http.Client
+}
+
+// New returns a client with its own connections.
+func New() *Client {
+	return &Client{http: http.Client{Transport: &http.Transport{
+		DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
+		MaxIdleConnsPerHost: 256,
+		IdleConnTimeout:     30 * time.Second,
+	}}}
+}
+
+// Run sends one attempt and waits for its whole answer.
+func (c *Client) Run(ctx context.Context, url string, m proto.RunMsg, notAfter clock.Millis) (spec.Answer, error) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, url+"/v1/run", bytes.NewReader(m.Body))
+	if err != nil {
+		return spec.Answer{}, fault.New(fault.Invalid, "announce a proper url", "%v", err).WithOutcome(fault.NotRun)
+	}
+	req.GetBody = nil // an attempt must not be sent twice behind our back
+	req.Header.Set(headerRequest, m.Request)
+	req.Header.Set(headerAttempt, m.Attempt)
+	req.Header.Set(headerNotAfter, strconv.FormatInt(int64(notAfter), 10))
+	resp, err := c.http.Do(req)
+	if err != nil {
+		return spec.Answer{}, sendFault(err)
+	}
+	defer resp.Body.Close()
+	return readAnswer(resp, m.Attempt)
+}
+
+// sendFault says what a failed call means: a refused connection took nothing.
+func sendFault(err error) error {
+	var op *net.OpError
+	if errors.As(err, &op) && op.Op == "dial" {
+		return fault.New(fault.Unreached, "check that the endpoint runs", "no connection to the endpoint: %v", err).WithOutcome(fault.NotRun)
+	}
+	return inDoubt("no answer from the endpoint: %v", err)
+}
+
+func inDoubt(format string, args ...any) *fault.Error {
+	return fault.New(fault.InDoubt, "look at the endpoint to see whether the work ran", format, args...).WithOutcome(fault.Unknown)
+}
+
+func readAnswer(resp *http.Response, attempt string) (spec.Answer, error) {
+	if resp.Header.Get(headerNotRun) == "true" {
+		return spec.Answer{}, fault.New(fault.Busy, "send to another endpoint", "the endpoint did not take the attempt").WithOutcome(fault.NotRun)
+	}
+	body, err := io.ReadAll(io.LimitReader(resp.Body, spec.MaxAnswer+1))
+	if err != nil {
+		return spec.Answer{}, inDoubt("the answer broke off: %v", err)
+	}
+	if len(body) > spec.MaxAnswer {
+		return spec.Answer{}, fault.New(fault.TooLarge, "make answers smaller", "the answer is over %d bytes", spec.MaxAnswer).WithOutcome(fault.RanFail)
+	}
+	if got := resp.Header.Get(headerAttempt); got != attempt {
+		return spec.Answer{}, inDoubt("the endpoint answered for attempt %q, not %q", got, attempt)
+	}
+	if resp.StatusCode >= http.StatusInternalServerError {
+		return spec.Answer{}, fault.New(fault.Failed, "look at the endpoint's log", "the endpoint answered %s", resp.Status).WithOutcome(fault.RanFail)
+	}
+	return spec.Answer{Status: resp.StatusCode, ContentType: resp.Header.Get("Content-Type"), Body: body}, nil
+}
+
+// TaskStart is what a worker needs to start a task.
+type TaskStart struct {
+	ID         string       `json:"id"`
+	Job        string       `json:"job"`
+	Attempt    int          `json:"attempt"`
+	Rank       int          `json:"rank"`
+	Account    string       `json:"account"`
+	Gang       int          `json:"gang"`
+	First      int          `json:"first"`
+	Size       int          `json:"size"`
+	NotAfter   clock.Millis `json:"not_after_ms"`
+	Lease      clock.Millis `json:"lease_ms"`
+	Checkpoint string       `json:"checkpoint,omitempty"`
+	Payload    []byte       `json:"payload,omitempty"`
+}
+
+// TaskInfo is one task as the worker reports it, with a lag.
+type TaskInfo struct {
+	ID      string          `json:"id"`
+	Job     string          `json:"job"`
+	Attempt int             `json:"attempt"`
+	Rank    int             `json:"rank"`
+	Account string          `json:"account"`
+	Gang    int             `json:"gang"`
+	First   int             `json:"first"`
+	Size    int             `json:"size"`
+	State   proto.TaskState `json:"state"`
+	Detail  string          `json:"detail"`
+	UsedMB  int             `json:"used_mb"`
+}
+
+// Start starts a task under a lease. Only an error of outcome not_run means
+// that it has not started.
+func (c *Client) Start(ctx context.Context, url string, t TaskStart) error {
+	return c.post(ctx, url+"/v1/tasks", t, nil)
+}
+
+// Stop ends a task for good, after a checkpoint, and returns that.
+func (c *Client) Stop(ctx context.Context, url, id string) (state proto.TaskState, checkpoint string, err error) {
+	var out struct {
+		State      proto.TaskState `json:"state"`
+		Checkpoint string          `json:"checkpoint"`
+	}
+	err = c.post(ctx, url+"/v1/tasks/"+id+"/stop", struct{}{}, &out)
+	return out.State, out.Checkpoint, err
+}
+
+// Renew extends the leases of running tasks.
+func (c *Client) Renew(ctx context.Context, url string, ids []string, lease clock.Millis) error {
+	in := struct {
+		IDs   []string     `json:"ids"`
+		Lease clock.Millis `json:"lease_ms"`
+	}{ids, lease}
+	return c.post(ctx, url+"/v1/renew", in, nil)
+}
+
+// State lists the tasks that the worker knows.
+func (c *Client) State(ctx context.Context, url string) ([]TaskInfo, error) {
+	var out struct {
+		Tasks []TaskInfo `json:"tasks"`
+	}
+	raw, err := c.get(ctx, url+"/v1/state")
+	if err != nil {
+		return nil, err
+	}
+	err = errors.Wrap(json.Unmarshal(raw, &out), "read worker state")
+	return out.Tasks, err
+}
+
+// Answer fetches a finished task's whole answer.
+func (c *Client) Answer(ctx context.Context, url, id string) ([]byte, error) {
+	return c.get(ctx, url+"/v1/tasks/"+id+"/answer")
+}
+
+func (c *Client) post(ctx context.Context, url string, in, out any) error {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	raw, err := json.Marshal(in)
+	if err != nil {
+		return err
+	}
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, url, bytes.NewReader(raw))
+	if err != nil {
+		return err
+	}
+	req.GetBody = nil
+	req.Header.Set("Content-Type", "application/json")
+	resp, err := c.http.Do(req)
+	if err != nil {
+		return sendFault(err)
+	}
+	defer resp.Body.Close()
+	switch resp.StatusCode {
+	case http.StatusOK, http.StatusAccepted:
+	case http.StatusTooManyRequests:
+		return fault.New(fault.Busy, "place the task elsewhere", "the worker did not take the call").WithOutcome(fault.NotRun)
+	default:
+		return fault.New(fault.Failed, "look at the worker's log", "the worker answered %s", resp.Status)
+	}
+	if out == nil {
+		return nil
+	}
+	return errors.Wrap(json.NewDecoder(io.LimitReader(resp.Body, spec.MaxAnswer)).Decode(out), "read worker's reply")
+}
+
+func (c *Client) get(ctx context.Context, url string) ([]byte, error) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+	if err != nil {
+		return nil, err
+	}
+	resp, err := c.http.Do(req)
+	if err != nil {
+		return nil, sendFault(err)
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		return nil, fault.New(fault.Failed, "look at the worker's log", "the worker answered %s", resp.Status)
+	}
+	raw, err := io.ReadAll(io.LimitReader(resp.Body, 8*spec.MaxAnswer))
+	return raw, errors.Wrap(err, "read worker's reply")
+}
--- /dev/null
+++ b/io/entry/request.go
@@ -0,0 +1,378 @@
+package entry
+
+import (
+	"context"
+	"expvar"
+	"net/http"
+	"regexp"
+	"strconv"
+	"time"
+
+	"gypsumcrank/core/clock"
+	"gypsumcrank/core/conf"
+	"gypsumcrank/core/event"
+	"gypsumcrank/core/fault"
+	"gypsumcrank/core/fleet"
+	"gypsumcrank/core/proto"
+	"gypsumcrank/core/queue"
+	"gypsumcrank/core/retry"
+	"gypsumcrank/core/spec"
+	"gypsumcrank/io/httpd"
+	"gypsumcrank/io/wire"
+)
+
+// Headers of the callers' protocol.
+const (
+	headerKey      = "Idempotency-Key"
+	headerDeadline = "Gypsumcrank-Deadline-Ms"
+	headerAttempts = "Gypsumcrank-Attempts"
+)
+
+// maxSends bounds how often one request is sent to agents.
+const maxSends = 6
+
+var (
+	requestsDone = expvar.NewInt("requests_done")
+	requestsSent = expvar.NewInt("requests_sent")
+	retriesSent  = expvar.NewInt("requests_retried")
+)
+
+var keyForm = regexp.MustCompile(`^[A-Za-z0-9_.:-]{1,128}$`)
+
+// request is one call of a caller for one slot.
+type request struct {
+	account  string
+	service  string
+	pool     string
+	conf     conf.Service
+	key      string
+	ownKey   bool
+	body     []byte
+	deadline clock.Millis
+	rank     int
+	sends    int
+}
+
+// caller finds out who calls, by the bearer token.
+func (e *Entry) caller(r *httpd.Request) (team, account string, limits conf.Account, err error) {
+	found := false
+	token := r.Bearer()
+	e.ask(func(c *control, _ clock.Millis) {
+		team, account, found = c.doc.Tree.FindAccount(token)
+		limits = c.doc.Tree.Teams[team].Accounts[account].Limits()
+	})
+	if token == "" || !found {
+		return "", "", limits, fault.New(fault.Denied, "send `Authorization: Bearer` with the client account's token", "the token is of no client account").WithOutcome(fault.NotRun)
+	}
+	return team, account, limits, nil
+}
+
+// readKey takes the caller's idempotency key, or makes one.
+func readKey(r *httpd.Request) (key string, own bool, err error) {
+	key = r.Header(headerKey)
+	if key == "" {
+		return nonce(), true, nil
+	}
+	if !keyForm.MatchString(key) {
+		return "", false, fault.New(fault.Invalid, "use 1 to 128 letters, digits, '_', '.', ':' and '-'", "the idempotency key is malformed").WithOutcome(fault.NotRun)
+	}
+	return key, false, nil
+}
+
+func readDeadline(r *httpd.Request, now, standard clock.Millis) (clock.Millis, error) {
+	text := r.Header(headerDeadline)
+	if text == "" {
+		return now + standard, nil
+	}
+	ms, err := strconv.ParseInt(text, 10, 64)
+	if err != nil || ms <= 0 || clock.Millis(ms) > clock.Hour {
+		return 0, fault.New(fault.Invalid, "give 1 to 3600000 milliseconds from now", "header %s is %q", headerDeadline, text).WithOutcome(fault.NotRun)
+	}
+	return now + clock.Millis(ms), nil
+}
+
+func (e *Entry) readRequest(r *httpd.Request) (*request, conf.Account, error) {
+	team, account, limits, err := e.caller(r)
+	if err != nil {
+		return nil, limits, err
+	}
+	q := &request{account: account, service: r.Param("service"), body: r.Body()}
+	owner, known := "", false
+	e.ask(func(c *control, _ clock.Millis) { owner, q.conf, known = c.doc.Tree.FindService(q.service) })
+	if !known || owner != team {
+		return nil, limits, fault.New(fault.NotFound, "name a service of the client account's team", "team %s has no service %q", team, q.service).WithOutcome(fault.NotRun)
+	}
+	if len(q.body) > spec.MaxPayload {
+		return nil, limits, fault.New(fault.TooLarge, "send at most 256 KiB", "the body has %d bytes", len(q.body)).WithOutcome(fault.NotRun)
+	}
+	q.rank = q.conf.Class.Rank()
+	q.pool = q.service
+	if q.conf.Endpoints != "" {
+		q.pool = q.conf.Endpoints
+	}
+	if q.key, q.ownKey, err = readKey(r); err != nil {
+		return nil, limits, err
+	}
+	q.deadline, err = readDeadline(r, e.Clock.Now(), q.conf.Time())
+	return q, limits, err
+}
+
+func (e *Entry) onRequest(ctx context.Context, r *httpd.Request) {
+	q, limits, err := e.readRequest(r)
+	if err != nil {
+		r.Problem(err)
+		return
+	}
+	if err := e.enter(q, limits); err != nil {
+		r.Problem(err)
+		return
+	}
+	defer e.exit(q)
+	began := e.Clock.Now()
+	var answer spec.Answer
+	if q.conf.Idempotent {
+		answer, err = e.serve(ctx, q)
+	} else {
+		answer, err = e.serveOnce(ctx, q)
+	}
+	r.SetHeader(headerAttempts, strconv.Itoa(q.sends))
+	r.SetHeader(headerKey, q.key)
+	if err != nil {
+		e.line.Add(event.Event{Kind: "request_refused", Account: q.account, Request: q.key, Detail: fault.Of(err).Error()})
+		r.Problem(err)
+		return
+	}
+	requestsDone.Add(1)
+	requestTimes.observe(e.Clock.Now() - began)
+	r.Send(answer.Status, answer.ContentType, answer.Body)
+}
+
+// enter counts the request against its client account's limit.
+func (e *Entry) enter(q *request, limits conf.Account) error {
+	err := gone()
+	e.ask(func(c *control, now clock.Millis) {
+		if c.inFlight[q.account] >= limits.MaxInFlight+limits.MaxQueued {
+			err = fault.New(fault.Busy, "come back after the stated time, or ask the operator for a higher max_in_flight", "%s has %d requests here already", q.account, c.inFlight[q.account]).
+				WithOutcome(fault.NotRun).WithLacking("place in the queue").WithRetry(retry.Spread(c.queue.Wait(now, c.queue.Count(q.account)/2+1)))
+			return
+		}
+		c.inFlight[q.account]++
+		err = nil
+	})
+	return err
+}
+
+func (e *Entry) exit(q *request) {
+	e.ask(func(c *control, _ clock.Millis) {
+		if c.inFlight[q.account]--; c.inFlight[q.account] <= 0 {
+			delete(c.inFlight, q.account)
+		}
+	})
+}
+
+// ticket is a request's wait for a slot.
+type ticket struct {
+	service    string
+	request    string
+	skip       map[string]bool
+	repeatable bool
+	grant      chan grant
+	picked     *fleet.Agent
+}
+
+type grant struct {
+	place spec.Place
+	slots int
+	err   error
+}
+
+// acquire waits for a slot of an endpoint, until the deadline.
+func (e *Entry) acquire(ctx context.Context, q *request, skip map[string]bool) (spec.Place, error) {
+	t := &ticket{service: q.pool, request: q.key, skip: skip, repeatable: q.conf.Idempotent, grant: make(chan grant, 1)}
+	it := &queue.Item[*ticket]{Account: q.account, Rank: q.rank, Deadline: q.deadline, Value: t}
+	err := gone()
+	e.ask(func(c *control, now clock.Millis) { err = c.enqueue(now, it) })
+	if err != nil {
+		return spec.Place{}, err
+	}
+	timer := time.NewTimer((q.deadline - e.Clock.Now()).Duration())
+	defer timer.Stop()
+	select {
+	case g := <-t.grant:
+		return g.place, g.err
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+	removed := false
+	e.ask(func(c *control, _ clock.Millis) { removed = c.queue.Remove(it) })
+	if !removed {
+		g := <-t.grant
+		return g.place, g.err
+	}
+	return spec.Place{}, lateFault()
+}
+
+func lateFault() error {
+	return fault.New(fault.Expired, "give a later deadline, or come back when there is less to do", "no slot became free before the deadline").WithOutcome(fault.NotRun).WithLacking("slot").WithRetry(retry.Spread(clock.Second))
+}
+
+func (c *control) enqueue(now clock.Millis, it *queue.Item[*ticket]) error {
+	if now >= it.Deadline {
+		return lateFault()
+	}
+	if c.fleet.Slots(it.Value.service) == 0 && !c.fleet.Probable(now, it.Value.service, it.Value.repeatable) {
+		return fault.New(fault.Unreached, "check that endpoints of the service run and announce themselves", "no endpoint of %s takes work now", it.Value.service).
+			WithOutcome(fault.NotRun).WithLacking("endpoint").WithRetry(retry.Spread(2 * clock.Second))
+	}
+	limits := c.doc.Tree.Accounts()[it.Account].Limits()
+	if err := c.queue.Push(now, it, limits.MaxQueued); err != nil {
+		return fault.Of(err).WithRetry(retry.Spread(fault.Of(err).RetryAfter))
+	}
+	c.pump(now)
+	return nil
+}
+
+// pump gives free slots to the requests that wait.
+func (c *control) pump(now clock.Millis) {
+	for c.queue.Len() > 0 {
+		it, ok := c.queue.Pop(now, func(it *queue.Item[*ticket]) bool { return c.tryPick(now, it.Value) }, c.late)
+		if !ok {
+			return
+		}
+		a := it.Value.picked
+		c.fleet.Sent(a.Report().Agent)
+		it.Value.grant <- grant{place: a.Place()}
+	}
+}
+
+func (c *control) tryPick(now clock.Millis, t *ticket) bool {
+	a, ok := c.fleet.Pick(now, t.service, t.skip, t.repeatable)
+	t.picked = a
+	return ok
+}
+
+func (c *control) late(it *queue.Item[*ticket]) { it.Value.grant <- grant{err: lateFault()} }
+
+// release notes what came of a send, and lets the next request go.
+func (e *Entry) release(place spec.Place, q *request, took clock.Millis, err error, v fleet.Verdict) {
+	e.ask(func(c *control, now clock.Millis) {
+		if c.fleet.Returned(now, place.Agent, q.key, took, v) {
+			e.line.Add(event.Event{Kind: "endpoint_quarantined", Request: q.key, Detail: place.Agent})
+		}
+		if err == nil {
+			c.budget.Success()
+		}
+		c.pump(now)
+	})
+}
+
+// verdict says what a result tells about the endpoint. One that was given up
+// before the service's own timeout tells nothing.
+func verdict(err error, givenUp bool) fleet.Verdict {
+	switch {
+	case err == nil:
+		return fleet.Healthy
+	case givenUp:
+		return fleet.Neutral
+	case fault.Is(err, fault.Busy):
+		return fleet.Full
+	case fault.Is(err, fault.Failed), fault.Is(err, fault.InDoubt), fault.Is(err, fault.Unreached):
+		return fleet.Sick
+	default:
+		return fleet.Neutral
+	}
+}
+
+// flight is a send that is under way.
+type flight struct{ cancel context.CancelFunc }
+
+// send carries one attempt to an agent and back.
+func (e *Entry) send(ctx context.Context, q *request, place spec.Place, attempt string, issued clock.Millis) (spec.Answer, error) {
+	limit := q.conf.Time()
+	ctx, cancel := context.WithTimeout(ctx, (q.deadline - e.Clock.Now()).Duration())
+	defer cancel()
+	f := &flight{cancel: cancel}
+	if q.conf.Idempotent {
+		e.track(place.Agent, f, true)
+		defer e.track(place.Agent, f, false)
+	}
+	q.sends++
+	requestsSent.Add(1)
+	m := proto.RunMsg{
+		Request: q.key, Attempt: attempt, Incarnation: place.Incarnation, Account: q.account, RunOnce: !q.conf.Idempotent,
+		Budget: q.deadline - e.Clock.Now(), Limit: limit, IssuedAt: issued, Body: q.body,
+	}
+	began := e.Clock.Now()
+	ran, err := wire.Call[proto.RanMsg](ctx, e.node, place.Addr, m)
+	took := e.Clock.Now() - began
+	givenUp := ctx.Err() != nil && took < limit
+	e.release(place, q, took, err, verdict(err, givenUp))
+	return ran.Answer, err
+}
+
+func (e *Entry) track(agent string, f *flight, on bool) {
+	e.ask(func(c *control, _ clock.Millis) {
+		if !on {
+			delete(c.flights[agent], f)
+			return
+		}
+		if c.flights[agent] == nil {
+			c.flights[agent] = make(map[*flight]bool)
+		}
+		c.flights[agent][f] = true
+	})
+}
+
+// serve runs a request that may be repeated.
+func (e *Entry) serve(ctx context.Context, q *request) (spec.Answer, error) {
+	skip := make(map[string]bool)
+	for {
+		place, err := e.acquire(ctx, q, skip)
+		if err != nil {
+			return spec.Answer{}, err
+		}
+		answer, err := e.send(ctx, q, place, nonce(), e.Clock.Now())
+		if err == nil {
+			return answer, nil
+		}
+		skip[place.Agent] = true
+		if !e.mayRetry(q, err, skip) {
+			return spec.Answer{}, err
+		}
+		retriesSent.Add(1)
+		e.line.Add(event.Event{Kind: "request_retried", Account: q.account, Request: q.key, Detail: fault.Of(err).Detail})
+	}
+}
+
+// mayRetry decides about another send. Work that did not start goes back to
+// the queue; the rest spends from the budget and needs another endpoint.
+func (e *Entry) mayRetry(q *request, err error, skip map[string]bool) bool {
+	if q.sends >= maxSends || e.Clock.Now() >= q.deadline {
+		return false
+	}
+	notRun := fault.Of(err).Outcome == fault.NotRun
+	if notRun && fault.Is(err, fault.Expired) {
+		return false
+	}
+	allowed := false
+	e.ask(func(c *control, _ clock.Millis) {
+		others := c.fleet.Others(q.pool, skip)
+		if notRun {
+			if !others {
+				clear(skip)
+			}
+			allowed = true
+			return
+		}
+		allowed = others && c.budget.Spend()
+	})
+	return allowed
+}
+
+func (e *Entry) routes() {
+	h := e.http
+	h.Handle(http.MethodGet, "/v1/ready", e.onReady)
+	h.Handle(http.MethodPost, "/v1/services/:service/requests", e.onRequest)
+	e.jobRoutes(h)
+	e.adminRoutes(h)
+}
--- /dev/null
+++ b/io/store/http.go
@@ -0,0 +1,324 @@
+package store
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"gypsumcrank/core/clock"
+	"gypsumcrank/core/fault"
+)
+
+// Timeouts of single calls.
+const (
+	callTimeout = 1500 * time.Millisecond
+	dialTimeout = 500 * time.Millisecond
+	maxReply    = 64 << 20 // bytes
+)
+
+// HTTP is a Store over the JSON gateway of the etcd v3 API. Set URL first.
+type HTTP struct {
+	// URL is the base address, such as http://10.0.0.5:2379.
+	URL string
+
+	client http.Client
+	calls  func(kind string)
+}
+
+// NewHTTP returns a client of the service at url. count, if not nil, is told
+// the kind of each call, because the platform counts them.
+func NewHTTP(url string, count func(kind string)) *HTTP {
+	if count == nil {
+		count = func(string) {}
+	}
+	transport := &http.Transport{
+		DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
+		MaxIdleConnsPerHost: 16,
+		MaxConnsPerHost:     64,
+		IdleConnTimeout:     30 * time.Second,
+	}
+	return &HTTP{URL: url, client: http.Client{Transport: transport}, calls: count}
+}
+
+// number is an int64 that JSON carries as text, as the gateway does.
+type number int64
+
+func (n number) MarshalJSON() ([]byte, error) {
+	return strconv.AppendQuote(nil, strconv.FormatInt(int64(n), 10)), nil
+}
+
+func (n *number) UnmarshalJSON(raw []byte) error {
+	v, err := strconv.ParseInt(string(bytes.Trim(raw, `"`)), 10, 64)
+	*n = number(v)
+	return err
+}
+
+type header struct {
+	Revision number `json:"revision"`
+}
+
+type wireKV struct {
+	Key         []byte `json:"key"`
+	Value       []byte `json:"value,omitempty"`
+	ModRevision number `json:"mod_revision,omitempty"`
+}
+
+type rangeRequest struct {
+	Key        []byte `json:"key"`
+	RangeEnd   []byte `json:"range_end,omitempty"`
+	Limit      number `json:"limit,omitempty"`
+	SortOrder  string `json:"sort_order,omitempty"`
+	SortTarget string `json:"sort_target,omitempty"`
+	KeysOnly   bool   `json:"keys_only,omitempty"`
+}
+
+type rangeReply struct {
+	Header header   `json:"header"`
+	KVs    []wireKV `json:"kvs"`
+}
+
+type compare struct {
+	Key         []byte `json:"key"`
+	Target      string `json:"target"`
+	Result      string `json:"result"`
+	ModRevision number `json:"mod_revision"`
+}
+
+type putRequest struct {
+	Key   []byte `json:"key"`
+	Value []byte `json:"value"`
+	Lease number `json:"lease,omitempty"`
+}
+
+type deleteRequest struct {
+	Key []byte `json:"key"`
+}
+
+type txnOp struct {
+	Put    *putRequest    `json:"request_put,omitempty"`
+	Delete *deleteRequest `json:"request_delete_range,omitempty"`
+}
+
+type txnRequest struct {
+	Compare []compare `json:"compare"`
+	Success []txnOp   `json:"success"`
+}
+
+type txnReply struct {
+	Header    header `json:"header"`
+	Succeeded bool   `json:"succeeded"`
+}
+
+type leaseMessage struct {
+	ID  number `json:"ID,omitempty"`
+	TTL number `json:"TTL,omitempty"`
+}
+
+type watchRequest struct {
+	Create struct {
+		Key           []byte `json:"key"`
+		RangeEnd      []byte `json:"range_end"`
+		StartRevision number `json:"start_revision"`
+	} `json:"create_request"`
+}
+
+type watchReply struct {
+	Result struct {
+		Events []struct {
+			Type string `json:"type"`
+			KV   wireKV `json:"kv"`
+		} `json:"events"`
+		Canceled bool `json:"canceled"`
+	} `json:"result"`
+}
+
+func (kv wireKV) plain() KV {
+	return KV{Key: string(kv.Key), Value: kv.Value, Rev: int64(kv.ModRevision)}
+}
+
+// prefixEnd is the first key after all that begin with prefix.
+func prefixEnd(prefix string) []byte {
+	end := []byte(prefix)
+	for i := len(end) - 1; i >= 0; i-- {
+		if end[i] < 0xff {
+			end[i]++
+			return end[:i+1]
+		}
+	}
+	return []byte{0}
+}
+
+// Get implements Store.
+func (h *HTTP) Get(ctx context.Context, key string) (KV, bool, error) {
+	var out rangeReply
+	err := h.call(ctx, "get", "/v3/kv/range", rangeRequest{Key: []byte(key)}, &out)
+	if err != nil || len(out.KVs) == 0 {
+		return KV{}, false, err
+	}
+	return out.KVs[0].plain(), true, nil
+}
+
+// List implements Store.
+func (h *HTTP) List(ctx context.Context, prefix string) ([]KV, int64, error) {
+	var out rangeReply
+	err := h.call(ctx, "list", "/v3/kv/range", rangeRequest{Key: []byte(prefix), RangeEnd: prefixEnd(prefix)}, &out)
+	if err != nil {
+		return nil, 0, err
+	}
+	return out.plain(), int64(out.Header.Revision), nil
+}
+
+func (r rangeReply) plain() []KV {
+	kvs := make([]KV, 0, len(r.KVs))
+	for _, kv := range r.KVs {
+		kvs = append(kvs, kv.plain())
+	}
+	return kvs
+}
+
+// Oldest implements Store.
+func (h *HTTP) Oldest(ctx context.Context, prefix string, limit int) ([]KV, error) {
+	var out rangeReply
+	req := rangeRequest{Key: []byte(prefix), RangeEnd: prefixEnd(prefix), Limit: number(limit), SortOrder: "ASCEND", SortTarget: "MOD"}
+	err := h.call(ctx, "oldest", "/v3/kv/range", req, &out)
+	return out.plain(), err
+}
+
+// Newest implements Store.
+func (h *HTTP) Newest(ctx context.Context, prefix string) (int64, error) {
+	var out rangeReply
+	req := rangeRequest{Key: []byte(prefix), RangeEnd: prefixEnd(prefix), Limit: 1, SortOrder: "DESCEND", SortTarget: "MOD", KeysOnly: true}
+	err := h.call(ctx, "newest", "/v3/kv/range", req, &out)
+	if err != nil || len(out.KVs) == 0 {
+		return 0, err
+	}
+	return int64(out.KVs[0].ModRevision), nil
+}
+
+// Swap implements Store.
+func (h *HTTP) Swap(ctx context.Context, puts ...Put) (bool, int64, error) {
+	var req txnRequest
+	for _, p := range puts {
+		key := []byte(p.Key)
+		req.Compare = append(req.Compare, compare{Key: key, Target: "MOD", Result: "EQUAL", ModRevision: number(p.IfRev)})
+		op := txnOp{Put: &putRequest{Key: key, Value: p.Value, Lease: number(p.Lease)}}
+		if p.Delete {
+			op = txnOp{Delete: &deleteRequest{Key: key}}
+		}
+		req.Success = append(req.Success, op)
+	}
+	var out txnReply
+	err := h.call(ctx, "swap", "/v3/kv/txn", req, &out)
+	return out.Succeeded, int64(out.Header.Revision), err
+}
+
+// Grant implements Store. The gateway counts leases in whole seconds.
+func (h *HTTP) Grant(ctx context.Context, ttl clock.Millis) (int64, error) {
+	var out leaseMessage
+	err := h.call(ctx, "lease", "/v3/lease/grant", leaseMessage{TTL: number((ttl + clock.Second - 1) / clock.Second)}, &out)
+	return int64(out.ID), err
+}
+
+// KeepAlive implements Store.
+func (h *HTTP) KeepAlive(ctx context.Context, lease int64) error {
+	var out struct {
+		Result leaseMessage `json:"result"`
+	}
+	err := h.call(ctx, "lease", "/v3/lease/keepalive", leaseMessage{ID: number(lease)}, &out)
+	if err == nil && out.Result.TTL <= 0 {
+		return fault.New(fault.NotFound, "take a new lease", "lease %d has lapsed", lease)
+	}
+	return err
+}
+
+// Revoke implements Store.
+func (h *HTTP) Revoke(ctx context.Context, lease int64) error {
+	return h.call(ctx, "lease", "/v3/lease/revoke", leaseMessage{ID: number(lease)}, &struct{}{})
+}
+
+// Watch implements Store.
+func (h *HTTP) Watch(ctx context.Context, prefix string, from int64, see func([]Change)) error {
+	var req watchRequest
+	req.Create.Key = []byte(prefix)
+	req.Create.RangeEnd = prefixEnd(prefix)
+	req.Create.StartRevision = number(from + 1)
+	h.calls("watch")
+	resp, err := h.post(ctx, "/v3/watch", req)
+	if err != nil {
+		return out(err)
+	}
+	defer resp.Body.Close()
+	dec := json.NewDecoder(resp.Body)
+	for {
+		var reply watchReply
+		if err := dec.Decode(&reply); err != nil {
+			return out(err)
+		}
+		if reply.Result.Canceled {
+			return fault.New(fault.StoreOut, "list again, then watch", "watch of %s was cancelled by the store", prefix)
+		}
+		if len(reply.Result.Events) > 0 {
+			see(reply.changes())
+		}
+	}
+}
+
+func (r watchReply) changes() []Change {
+	changes := make([]Change, 0, len(r.Result.Events))
+	for _, e := range r.Result.Events {
+		changes = append(changes, Change{KV: e.KV.plain(), Deleted: e.Type == "DELETE"})
+	}
+	return changes
+}
+
+func (h *HTTP) call(ctx context.Context, kind, path string, in, reply any) error {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	h.calls(kind)
+	resp, err := h.post(ctx, path, in)
+	if err != nil {
+		return out(err)
+	}
+	defer resp.Body.Close()
+	raw, err := io.ReadAll(io.LimitReader(resp.Body, maxReply))
+	if err != nil {
+		return out(err)
+	}
+	return out(json.Unmarshal(raw, reply))
+}
+
+func (h *HTTP) post(ctx context.Context, path string, in any) (*http.Response, error) {
+	raw, err := json.Marshal(in)
+	if err != nil {
+		return nil, err
+	}
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, h.URL+path, bytes.NewReader(raw))
+	if err != nil {
+		return nil, err
+	}
+	req.GetBody = nil // a write must not be sent twice behind our back
+	req.Header.Set("Content-Type", "application/json")
+	resp, err := h.client.Do(req)
+	if err != nil {
+		return nil, err
+	}
+	if resp.StatusCode != http.StatusOK {
+		resp.Body.Close()
+		return nil, errors.Errorf("platform's store answered %s", resp.Status)
+	}
+	return resp, nil
+}
+
+func out(err error) error {
+	if err == nil {
+		return nil
+	}
+	return fault.New(fault.StoreOut, "wait for the platform's store, or check --store", "platform's store gave no answer: %v", err)
+}
--- /dev/null
+++ b/io/store/store_test.go
@@ -0,0 +1,77 @@
+package store_test
+
+import (
+	"context"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"gypsumcrank/core/clock"
+	"gypsumcrank/core/fault"
+	"gypsumcrank/internal/standin/kvfake"
+	"gypsumcrank/io/store"
+)
+
+func open(t *testing.T) (*kvfake.Store, *store.HTTP) {
+	fake := &kvfake.Store{}
+	srv := httptest.NewServer(fake.Handler())
+	t.Cleanup(srv.CloseClientConnections)
+	return fake, store.NewHTTP(srv.URL, nil)
+}
+
+func mine(value string) func(store.KV) bool {
+	return func(kv store.KV) bool { return string(kv.Value) == value }
+}
+
+func TestSettleReadsBackALostAnswer(t *testing.T) {
+	c := qt.New(t)
+	ctx := context.Background()
+	fake, s := open(t)
+	fake.SetFaults(kvfake.Faults{LoseAnswers: 1})
+	res, err := store.Settle(ctx, s, store.Put{Key: "a", Value: []byte("me")}, mine("me"))
+	c.Assert(err, qt.IsNil)
+	c.Assert(res.Won, qt.IsTrue)
+
+	res, err = store.Settle(ctx, s, store.Put{Key: "a", Value: []byte("you")}, mine("you"))
+	c.Assert(err, qt.IsNil)
+	c.Assert(res.Won, qt.IsFalse)
+	c.Assert(string(res.Now.Value), qt.Equals, "me")
+
+	fake.SetFaults(kvfake.Faults{Down: true})
+	_, err = store.Settle(ctx, s, store.Put{Key: "b", Value: []byte("x")}, mine("x"))
+	c.Assert(fault.Is(err, fault.StoreOut), qt.IsTrue)
+}
+
+func TestLeaseWatchAndNewest(t *testing.T) {
+	c := qt.New(t)
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	_, s := open(t)
+	seen := make(chan store.Change, 8)
+	go func() {
+		_ = s.Watch(ctx, "live/", 0, func(cs []store.Change) {
+			for _, change := range cs {
+				seen <- change
+			}
+		})
+	}()
+	lease, err := s.Grant(ctx, clock.Second)
+	c.Assert(err, qt.IsNil)
+	ok, rev, err := s.Swap(ctx, store.Put{Key: "live/x", Value: []byte("1"), Lease: lease})
+	c.Assert(err, qt.IsNil)
+	c.Assert(ok, qt.IsTrue)
+	newest, err := s.Newest(ctx, "live/")
+	c.Assert(err, qt.IsNil)
+	c.Assert(newest, qt.Equals, rev)
+	c.Assert((<-seen).Deleted, qt.IsFalse)
+	c.Assert(s.Revoke(ctx, lease), qt.IsNil)
+	select {
+	case change := <-seen:
+		c.Assert(change.Deleted, qt.IsTrue)
+	case <-time.After(5 * time.Second):
+		c.Fatal("no change seen")
+	}
+	c.Assert(fault.Is(s.KeepAlive(ctx, lease), fault.NotFound), qt.IsTrue)
+}
--- /dev/null
+++ b/io/wire/wire.go
@@ -0,0 +1,158 @@
+// Package wire carries typed messages between the system's processes: QUIC
+// streams under mutual TLS, one stream for each call, cbor for the content.
+//
+// A Node listens and calls on one UDP socket:
+//
+//	n := &wire.Node{Addr: "127.0.0.1:0", TLS: tlsConfig, Mux: mux}
+//	err := n.Listen()
+//	reply, err := wire.Call[proto.FencedMsg](ctx, n, addr, proto.FenceMsg{...})
+//
+// An error of Call says whether the message may have arrived: unreachable
+// means that it was never sent, in_doubt that nobody can tell.
+package wire
+
+import (
+	"context"
+	"encoding/binary"
+	"io"
+	"log/slog"
+	"sync"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"gypsumcrank/core/fault"
+	"gypsumcrank/io/certs"
+)
+
+// MaxMessage bounds a message, in bytes.
+const MaxMessage = 4 << 20
+
+// Message is what can be called with: it names itself.
+type Message interface {
+	Kind() string
+}
+
+// Peer is who sent a message, as its certificate says.
+type Peer struct {
+	Role certs.Role
+	Addr string
+}
+
+type envelope struct {
+	Kind string          `cbor:"1,keyasint"`
+	Body cbor.RawMessage `cbor:"2,keyasint"`
+}
+
+type reply struct {
+	Fault *fault.Error    `cbor:"1,keyasint,omitempty"`
+	Body  cbor.RawMessage `cbor:"2,keyasint,omitempty"`
+}
+
+type handler func(ctx context.Context, from Peer, body []byte) ([]byte, error)
+
+type route struct {
+	roles  []certs.Role
+	handle handler
+}
+
+// Mux knows who answers which kind of message.
+type Mux struct {
+	mu     sync.RWMutex
+	routes map[string]route
+}
+
+// Handle registers f for messages of In's kind from peers of the given roles.
+func Handle[In Message, Out any](m *Mux, f func(ctx context.Context, from Peer, in In) (Out, error), roles ...certs.Role) {
+	var zero In
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.routes == nil {
+		m.routes = make(map[string]route)
+	}
+	m.routes[zero.Kind()] = route{roles: roles, handle: func(ctx context.Context, from Peer, body []byte) ([]byte, error) {
+		var in In
+		if err := cbor.Unmarshal(body, &in); err != nil {
+			return nil, fault.New(fault.Invalid, "run one version of the program everywhere", "%s message can't be read: %v", zero.Kind(), err)
+		}
+		out, err := f(ctx, from, in)
+		if err != nil {
+			return nil, err
+		}
+		return cbor.Marshal(out)
+	}}
+}
+
+func (m *Mux) serve(ctx context.Context, from Peer, e envelope) (out reply) {
+	defer func() {
+		if p := recover(); p != nil {
+			slog.Error("handler_panic", "kind", e.Kind, "panic", p)
+			out = reply{Fault: fault.New(fault.Internal, "report it with the log line of this time", "handler of %s failed", e.Kind)}
+		}
+	}()
+	m.mu.RLock()
+	r, ok := m.routes[e.Kind]
+	m.mu.RUnlock()
+	if !ok || !r.admits(from.Role) {
+		return reply{Fault: fault.New(fault.Denied, "call with a certificate of the right role", "%s from a peer of role %q is not taken here", e.Kind, from.Role)}
+	}
+	body, err := r.handle(ctx, from, e.Body)
+	if err != nil {
+		return reply{Fault: fault.Of(err)}
+	}
+	return reply{Body: body}
+}
+
+func (r route) admits(role certs.Role) bool {
+	for _, want := range r.roles {
+		if role == want {
+			return true
+		}
+	}
+	return false
+}
+
+func writeFrame(w io.Writer, v any) error {
+	raw, err := cbor.Marshal(v)
+	if err != nil {
+		return err
+	}
+	if len(raw) > MaxMessage {
+		return fault.New(fault.TooLarge, "send less at once", "message of %d bytes is over %d", len(raw), MaxMessage)
+	}
+	buf := binary.BigEndian.AppendUint32(make([]byte, 0, 4+len(raw)), uint32(len(raw)))
+	_, err = w.Write(append(buf, raw...))
+	return err
+}
+
+func readFrame(r io.Reader, v any) error {
+	var size [4]byte
+	if _, err := io.ReadFull(r, size[:]); err != nil {
+		return err
+	}
+	n := binary.BigEndian.Uint32(size[:])
+	if n > MaxMessage {
+		return fault.New(fault.TooLarge, "send less at once", "message of %d bytes is over %d", n, MaxMessage)
+	}
+	raw := make([]byte, n)
+	if _, err := io.ReadFull(r, raw); err != nil {
+		return err
+	}
+	return cbor.Unmarshal(raw, v)
+}
+
+// Call sends a message to addr and waits for the typed reply.
+func Call[Out any](ctx context.Context, n *Node, addr string, in Message) (Out, error) {
+	var out Out
+	body, err := cbor.Marshal(in)
+	if err != nil {
+		return out, err
+	}
+	raw, err := n.call(ctx, addr, envelope{Kind: in.Kind(), Body: body})
+	if err != nil {
+		return out, err
+	}
+	if err := cbor.Unmarshal(raw, &out); err != nil {
+		return out, fault.New(fault.InDoubt, "run one version of the program everywhere", "reply to %s can't be read: %v", in.Kind(), err)
+	}
+	return out, nil
+}
