The whole path, thin: entry, agent, stand-ins, command line and demo

Ruled out: planning of one-slot requests (they go straight from any entry to an agent, so they survive planner and store); a store client in agents (an agent in doubt asks its home entry). Conclusion: the path stands; the promises are next, under failure.

--- /dev/null
+++ b/cmd/gypsumcrank/daemon.go
@@ -0,0 +1,126 @@
+package main
+
+import (
+	"context"
+	"log/slog"
+	"net"
+	"os"
+	"os/signal"
+	"regexp"
+	"syscall"
+	"time"
+
+	"gypsumcrank/core/clock"
+	"gypsumcrank/core/fault"
+	"gypsumcrank/io/agent"
+	"gypsumcrank/io/certs"
+	"gypsumcrank/io/entry"
+)
+
+var nameForm = regexp.MustCompile(`^[a-z0-9][a-z0-9-]{0,62}$`)
+
+type processFlags struct {
+	Name       string        `required:"" help:"Name of this process, unique in the region."`
+	HTTPListen string        `name:"http-listen" default:"127.0.0.1:8080" help:"IP and port for HTTP."`
+	PeerListen string        `default:"127.0.0.1:7070" help:"IP and port for the system's other processes."`
+	Advertise  string        `help:"IP and port that the others are told, if not --peer-listen."`
+	TLSCA      string        `name:"tls-ca" required:"" help:"Certificate of the authority: PEM text, or a file."`
+	TLSCert    string        `name:"tls-cert" required:"" help:"This process's certificate: PEM text, or a file."`
+	TLSKey     string        `name:"tls-key" required:"" help:"This process's key: PEM text, or a file."`
+	Grace      time.Duration `default:"30s" help:"Longest time for a planned stop."`
+}
+
+func (f processFlags) check() error {
+	if !nameForm.MatchString(f.Name) {
+		return fault.New(fault.Invalid, "use lower-case letters, digits and '-'", "--name %q is no name", f.Name)
+	}
+	for flag, addr := range map[string]string{"http-listen": f.HTTPListen, "peer-listen": f.PeerListen, "advertise": f.Advertise} {
+		if err := checkAddr(flag, addr); err != nil {
+			return err
+		}
+	}
+	if f.Grace <= 0 {
+		return fault.New(fault.Invalid, "give a time such as 30s", "--grace is %s", f.Grace)
+	}
+	return nil
+}
+
+func checkAddr(flag, addr string) error {
+	if addr == "" {
+		return nil
+	}
+	host, _, err := net.SplitHostPort(addr)
+	if err != nil || net.ParseIP(host) == nil {
+		return fault.New(fault.Invalid, "give an IP number and a port, such as 10.0.0.7:7070", "--%s is %q", flag, addr)
+	}
+	return nil
+}
+
+func checkAddrs(flag string, addrs []string) error {
+	for _, a := range addrs {
+		if err := checkAddr(flag, a); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (f processFlags) bundle() (certs.Bundle, error) {
+	return certs.Source{CA: f.TLSCA, Cert: f.TLSCert, Key: f.TLSKey}.Load()
+}
+
+func untilSignal() (context.Context, context.CancelFunc) {
+	return signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+}
+
+type entryCmd struct {
+	processFlags
+	Region          string   `default:"main" help:"Region: the part of the platform's key space to use."`
+	Store           string   `required:"" help:"URL of the platform's key-value service."`
+	Peers           []string `help:"Peer addresses of other entries, for a start while the store is out."`
+	OperatorHash    string   `help:"Hash of the operators' token; see 'keys token'."`
+	ClaimsPerSecond int      `default:"50" help:"Most run-once requests that this entry takes in a second."`
+}
+
+// Run serves until SIGTERM.
+func (c *entryCmd) Run(log *slog.Logger) error {
+	if err := c.check(); err != nil {
+		return err
+	}
+	if err := checkAddrs("peers", c.Peers); err != nil {
+		return err
+	}
+	if !nameForm.MatchString(c.Region) || c.ClaimsPerSecond < 1 {
+		return fault.New(fault.Invalid, "give a name in lower case, and at least 1", "--region is %q and --claims-per-second %d", c.Region, c.ClaimsPerSecond)
+	}
+	ctx, stop := untilSignal()
+	defer stop()
+	e := &entry.Entry{
+		Name: c.Name, Region: c.Region, HTTPListen: c.HTTPListen, PeerListen: c.PeerListen, Advertise: c.Advertise,
+		Peers: c.Peers, Store: entry.NewStore(c.Store), OperatorHash: c.OperatorHash, TLS: c.bundle,
+		Grace: clock.FromDuration(c.Grace), ClaimsPerSecond: c.ClaimsPerSecond, Log: log.With("process", c.Name),
+	}
+	return e.Run(ctx)
+}
+
+type agentCmd struct {
+	processFlags
+	Entries []string `required:"" help:"Peer addresses of some entries."`
+}
+
+// Run serves until SIGTERM.
+func (c *agentCmd) Run(log *slog.Logger) error {
+	if err := c.check(); err != nil {
+		return err
+	}
+	if err := checkAddrs("entries", c.Entries); err != nil {
+		return err
+	}
+	ctx, stop := untilSignal()
+	defer stop()
+	a := &agent.Agent{
+		Name: c.Name, PeerListen: c.PeerListen, Advertise: c.Advertise, HTTPListen: c.HTTPListen,
+		Entries: c.Entries, TLS: c.bundle, Grace: clock.FromDuration(c.Grace), Log: log.With("process", c.Name),
+	}
+	return a.Run(ctx)
+}
--- /dev/null
+++ b/cmd/gypsumcrank/main.go
@@ -0,0 +1,84 @@
+// Command gypsumcrank is the one binary of the system: the daemons, the
+// operators' commands, and a demonstration.
+package main
+
+import (
+	"fmt"
+	"log/slog"
+	"os"
+
+	"github.com/alecthomas/kong"
+
+	"gypsumcrank/core/fault"
+)
+
+// version is the program's version.
+const version = "0.1.0"
+
+// Exit codes.
+const (
+	exitFailed  = 1
+	exitSetting = 2
+)
+
+type commands struct {
+	Log     logFlags         `embed:"" prefix:"log-"`
+	Version kong.VersionFlag `help:"Show the version."`
+
+	Entry    entryCmd    `cmd:"" help:"Run the daemon of an entry host."`
+	Agent    agentCmd    `cmd:"" help:"Run the process beside an endpoint."`
+	Demo     demoCmd     `cmd:"" help:"Show the whole system at work on this machine, with nothing set up."`
+	Get      getCmd      `cmd:"" help:"Read the settings at a path."`
+	Set      setCmd      `cmd:"" help:"Change the setting at a path."`
+	History  historyCmd  `cmd:"" help:"List the changes of the settings."`
+	Status   statusCmd   `cmd:"" help:"Show the processes, the planner, and what is in force."`
+	Explain  explainCmd  `cmd:"" help:"Tell why a job waited, moved or was refused."`
+	Drain    drainCmd    `cmd:"" help:"Have an agent take no new work, or take it again."`
+	Timeline timelineCmd `cmd:"" help:"Show the events of all processes in order."`
+	Keys     keysCmd     `cmd:"" help:"Make keys, certificates and tokens."`
+}
+
+type logFlags struct {
+	Level string `enum:"debug,info,warn,error" default:"info" help:"Least level of log lines: debug, info, warn or error."`
+}
+
+func (l logFlags) logger() *slog.Logger {
+	var level slog.Level
+	_ = level.UnmarshalText([]byte(l.Level))
+	log := slog.New(slog.NewTextHandler(os.Stderr, &slog.HandlerOptions{Level: level}))
+	slog.SetDefault(log)
+	return log
+}
+
+func main() { os.Exit(run(os.Args[1:])) }
+
+func run(args []string) int {
+	var c commands
+	parser, err := kong.New(&c,
+		kong.Name("gypsumcrank"),
+		kong.Description("A scheduler for multi-accelerator jobs under client account guarantees.\n\nEvery flag can also be set by an environment variable, GYPSUMCRANK_ and the flag's name."),
+		kong.DefaultEnvars("GYPSUMCRANK"),
+		kong.Vars{"version": version},
+		kong.UsageOnError(),
+	)
+	if err != nil {
+		return report(err, exitFailed)
+	}
+	ctx, err := parser.Parse(args)
+	if err != nil {
+		return report(err, exitSetting)
+	}
+	if err := ctx.Run(c.Log.logger()); err != nil {
+		code := exitFailed
+		if fault.Is(err, fault.Invalid) {
+			code = exitSetting
+		}
+		return report(err, code)
+	}
+	return 0
+}
+
+func report(err error, code int) int {
+	fmt.Fprintln(os.Stderr, "gypsumcrank:", err)
+	return code
+}
--- a/core/fleet/pick.go
+++ b/core/fleet/pick.go
@@ -191,3 +191,10 @@
 	}
 	return false
 }
+
+// TaskFailed notes that a job's task failed on an agent's worker. It returns
+// true if the worker goes into quarantine by it.
+func (f *Fleet) TaskFailed(now clock.Millis, name, job string) bool {
+	a, ok := f.agents[name]
+	return ok && f.judge(now, a, job, 0, Sick)
+}
--- /dev/null
+++ b/internal/standin/prog/prog.go
@@ -0,0 +1,68 @@
+// Package prog is the stand-in program's command line.
+package prog
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/alecthomas/kong"
+
+	"gypsumcrank/internal/standin/epfake"
+	"gypsumcrank/internal/standin/kvfake"
+)
+
+type commands struct {
+	Store    storeCmd    `cmd:"" help:"Run a stand-in of the platform's key-value service."`
+	Endpoint endpointCmd `cmd:"" help:"Run a stand-in of an endpoint with its worker."`
+	Link     linkCmd     `cmd:"" help:"Forward UDP, until told to cut."`
+}
+
+// Main parses the command line and runs it.
+func Main() {
+	var c commands
+	ctx := kong.Parse(&c, kong.Name("standin"), kong.Description("Stand-ins of outside systems, for tests."))
+	ctx.FatalIfErrorf(ctx.Run())
+}
+
+type storeCmd struct {
+	Listen string `default:"127.0.0.1:2379" help:"Address to serve at."`
+}
+
+// Run serves until the process is ended.
+func (c *storeCmd) Run() error {
+	return http.ListenAndServe(c.Listen, (&kvfake.Store{}).Handler())
+}
+
+type endpointCmd struct {
+	Listen       string `required:"" help:"Address to serve at."`
+	Agent        string `required:"" help:"URL of the agent beside it."`
+	Name         string `required:"" help:"Name of the endpoint."`
+	Service      string `default:"studio" help:"Service that it announces."`
+	Slots        int    `default:"8" help:"Requests at once."`
+	Rack         string `default:"r1" help:"Rack of its worker."`
+	DataCentre   string `default:"d1" help:"Data centre of its worker."`
+	Accelerators int    `default:"8" help:"Accelerators of its worker."`
+	WorkMS       int    `default:"5" help:"Run time of a request that names none, in milliseconds."`
+}
+
+// Run serves until SIGTERM, on which the endpoint announces that it leaves.
+func (c *endpointCmd) Run() error {
+	ep := &epfake.Endpoint{
+		AgentURL: c.Agent, Slots: c.Slots, WorkMS: c.WorkMS,
+		Announcement: map[string]any{
+			"endpoint": c.Name, "url": "http://" + c.Listen, "service": c.Service, "slots": c.Slots,
+			"worker": "worker-" + c.Name, "rack": c.Rack, "data_centre": c.DataCentre,
+			"processors": 128, "memory_mb": 250000, "accelerators": c.Accelerators,
+		},
+	}
+	handler := ep.Handler()
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+	defer stop()
+	go ep.Run(ctx)
+	fmt.Println("endpoint ready", c.Listen)
+	return http.ListenAndServe(c.Listen, handler)
+}
