Scenarios: real processes under kills, cuts, freezes and store outages

A small test language over testscript starts entries, agents, endpoints, a store and cuttable links, and causes the failures. Failed first, and mended by cause: a restarted agent or entry at the same address got messages on dead connections until 6 s of silence (27962 of 29680 requests failed in the rolling restart): accepted connections are now closed by name at a stop, and a reset key that outlives the process answers for the rest. A restarted entry said it was ready before it had heard of any agent (22 of 536 failed): it now waits for the first report. Ruled out: retries as the remedy; they only hid the dead connections.

--- /dev/null
+++ b/cmd/gypsumcrank/commands_test.go
@@ -0,0 +1,386 @@
+package main
+
+import (
+	"encoding/json"
+	"fmt"
+	"os"
+	"strconv"
+	"strings"
+	"syscall"
+	"time"
+
+	"github.com/rogpeppe/go-internal/testscript"
+)
+
+type command func(w *world, args []string) error
+
+// commandTable is the test language. `! cmd` means that the command must fail.
+//
+//	cluster ENTRIES AGENTS           start everything, and wait until it takes work
+//	halt|crash|freeze|thaw P         SIGTERM with exit 0 wanted, SIGKILL, SIGSTOP, SIGCONT
+//	again P                          start a process as it was started before
+//	cut|heal P                       take an agent or entry off the network
+//	fault P JSON                     what a stand-in does wrong from now on
+//	send ID ENTRY SERVICE KEY DEADLINE_MS BODY   send a request; wait for it with got
+//	got ID OUTCOME...                the answer is one of these outcomes
+//	same ID ID                       both got the same body
+//	runs NAME N                      an endpoint ran it N times, by now and for good
+//	reaches NAME N                   an endpoint comes to have run it N times
+//	job ID ENTRY KEY TOKEN JSON      submit a job
+//	state ID STATE SECONDS           the job comes to this state in time
+//	stays ID STATE SECONDS           the job is in this state all that time
+//	event KIND SECONDS [TEXT]        some process comes to log it
+//	set PATH VALUE                   change a setting, at the first entry that answers
+//	inforce SECONDS                  all processes come to have the newest revision
+//	agents N SECONDS                 all entries come to see N agents ready
+//	quiet ENDPOINT SECONDS           the endpoint starts nothing in that time
+//	load N, loaded LEAST             callers in the background, and none may fail
+//	worker ID ENDPOINT               wait until a job's task runs there
+//	health                           what must hold in every scenario
+func commandTable() map[string]func(*testscript.TestScript, bool, []string) {
+	table := map[string]command{
+		"cluster": cmdCluster, "halt": cmdHalt, "crash": cmdCrash, "again": cmdAgain,
+		"freeze": signalCmd(syscall.SIGSTOP), "thaw": signalCmd(syscall.SIGCONT),
+		"cut":   func(w *world, a []string) error { return w.cut(a[0], "cut") },
+		"heal":  func(w *world, a []string) error { return w.cut(a[0], "heal") },
+		"fault": cmdFault, "send": cmdSend, "got": cmdGot, "same": cmdSame, "runs": cmdRuns, "reaches": cmdReaches,
+		"job": cmdJob, "state": cmdState, "stays": cmdStays, "event": cmdEvent, "set": cmdSet, "inforce": cmdInForce,
+		"answer": cmdAnswer, "health": cmdHealth, "load": cmdLoad, "loaded": cmdLoaded, "agents": cmdAgents, "pause": cmdPause, "quiet": cmdQuiet, "worker": cmdWorker,
+	}
+	out := make(map[string]func(*testscript.TestScript, bool, []string))
+	for name, f := range table {
+		out[name] = func(ts *testscript.TestScript, neg bool, args []string) {
+			w := ts.Value(worldKey{}).(*world)
+			err := w.resolveFirst(args)
+			if err == nil {
+				err = f(w, args)
+			}
+			if neg && err == nil {
+				ts.Fatalf("%s %v: should have failed", name, args)
+			}
+			if !neg && err != nil {
+				ts.Fatalf("%s %v: %v", name, args, err)
+			}
+		}
+	}
+	return out
+}
+
+func (w *world) resolveFirst(args []string) error {
+	if len(args) == 0 {
+		return nil
+	}
+	name, err := w.resolve(args[0])
+	args[0] = name
+	return err
+}
+
+func seconds(text string) time.Duration {
+	f, err := strconv.ParseFloat(text, 64)
+	if err != nil {
+		panic(err)
+	}
+	return time.Duration(f * float64(time.Second))
+}
+
+func cmdCluster(w *world, a []string) error {
+	e, _ := strconv.Atoi(a[0])
+	n, _ := strconv.Atoi(a[1])
+	return w.cluster(e, n)
+}
+
+func (w *world) remember(name string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if p, ok := w.procs[name]; ok {
+		w.past()[name] = p
+	}
+}
+
+func (w *world) past() map[string]*process {
+	return w.ended
+}
+
+func cmdHalt(w *world, a []string) error {
+	w.remember(a[0])
+	return w.end(a[0], syscall.SIGTERM, 20*time.Second)
+}
+
+func cmdCrash(w *world, a []string) error {
+	w.remember(a[0])
+	_ = w.end(a[0], syscall.SIGKILL, 5*time.Second)
+	return nil
+}
+
+func cmdAgain(w *world, a []string) error {
+	p, ok := w.past()[a[0]]
+	if !ok {
+		return fmt.Errorf("%s was not stopped", a[0])
+	}
+	return w.start(p.name, p.prog, p.args...)
+}
+
+func signalCmd(sig os.Signal) command {
+	return func(w *world, a []string) error { return w.signal(a[0], sig) }
+}
+
+func cmdFault(w *world, a []string) error {
+	status, body, err := w.call(a[0], "POST", "/fault", "", "", 0, []byte(a[1]))
+	if err == nil && status != 200 {
+		err = fmt.Errorf("status %d: %s", status, body)
+	}
+	return err
+}
+
+func cmdSend(w *world, a []string) error {
+	id, entry, service, key, body := a[0], a[1], a[2], a[3], a[5]
+	deadline, _ := strconv.Atoi(a[4])
+	if key == "-" {
+		key = ""
+	}
+	ch := make(chan answer, 1)
+	w.answers[id] = ch
+	go func() { ch <- w.ask(entry, "/v1/services/"+service+"/requests", key, deadline, body) }()
+	return nil
+}
+
+func (w *world) ask(entry, path, key string, deadline int, body string) answer {
+	began := time.Now()
+	status, raw, header, err := w.callFull(entry, "POST", path, accountToken, key, deadline, []byte(body))
+	out := answer{status: status, body: string(raw), outcome: "done", err: err, took: time.Since(began)}
+	if err != nil {
+		out.outcome = "broken"
+		return out
+	}
+	if status >= 400 {
+		var p struct{ Kind, Outcome string }
+		_ = json.Unmarshal(raw, &p)
+		out.kind, out.outcome, out.retry = p.Kind, p.Outcome, header.Get("Retry-After")
+	}
+	return out
+}
+
+func (w *world) answer(id string) (answer, error) {
+	ch, ok := w.answers[id]
+	if !ok {
+		return answer{}, fmt.Errorf("nothing was sent as %s", id)
+	}
+	select {
+	case a := <-ch:
+		ch <- a
+		return a, nil
+	case <-time.After(60 * time.Second):
+		return answer{}, fmt.Errorf("%s has no answer after a minute", id)
+	}
+}
+
+func cmdGot(w *world, a []string) error {
+	got, err := w.answer(a[0])
+	if err != nil {
+		return err
+	}
+	for _, want := range a[1:] {
+		if got.outcome == want {
+			return nil
+		}
+	}
+	return fmt.Errorf("got %q (%d %s %v) after %s, want %v", got.outcome, got.status, got.body, got.err, got.took, a[1:])
+}
+
+func cmdSame(w *world, a []string) error {
+	x, err := w.answer(a[0])
+	if err != nil {
+		return err
+	}
+	y, err := w.answer(a[1])
+	if err == nil && x.body != y.body {
+		err = fmt.Errorf("%q and %q", x.body, y.body)
+	}
+	return err
+}
+
+func cmdRuns(w *world, a []string) error {
+	want, _ := strconv.Atoi(a[1])
+	got, err := w.runs(a[0])
+	if err == nil && got != want {
+		err = fmt.Errorf("ran %d times", got)
+	}
+	return err
+}
+
+func cmdReaches(w *world, a []string) error {
+	return w.until(15*time.Second, func() error { return cmdRuns(w, a) })
+}
+
+func cmdJob(w *world, a []string) error {
+	status, raw, err := w.call(a[1], "POST", "/v1/jobs", a[3], a[2], 0, []byte(a[4]))
+	if err != nil {
+		return err
+	}
+	var rec struct{ ID string }
+	if status >= 300 || json.Unmarshal(raw, &rec) != nil {
+		return fmt.Errorf("status %d: %s", status, raw)
+	}
+	w.jobs[a[0]] = rec.ID
+	return nil
+}
+
+// stateOf reads a job's state at any entry that answers.
+func (w *world) stateOf(id string) (state, reason string, err error) {
+	token := otherToken
+	if strings.HasPrefix(w.jobs[id], "acme") {
+		token = accountToken
+	}
+	for _, e := range w.entries {
+		var rec struct{ State, Reason string }
+		if err = w.getJSON(e, "/v1/jobs/"+w.jobs[id], token, &rec); err == nil {
+			return rec.State, rec.Reason, nil
+		}
+	}
+	return "", "", err
+}
+
+func cmdState(w *world, a []string) error {
+	return w.until(seconds(a[2]), func() error {
+		state, reason, err := w.stateOf(a[0])
+		if err == nil && state != a[1] {
+			err = fmt.Errorf("is %s: %s", state, reason)
+		}
+		return err
+	})
+}
+
+func cmdStays(w *world, a []string) error {
+	end := time.Now().Add(seconds(a[2]))
+	for time.Now().Before(end) {
+		if state, reason, err := w.stateOf(a[0]); err == nil && state != a[1] {
+			return fmt.Errorf("is %s: %s", state, reason)
+		}
+		time.Sleep(pollEvery)
+	}
+	return nil
+}
+
+func cmdAnswer(w *world, a []string) error {
+	token := accountToken
+	if strings.HasPrefix(w.jobs[a[1]], "other") {
+		token = otherToken
+	}
+	status, raw, err := w.call(a[0], "GET", "/v1/jobs/"+w.jobs[a[1]]+"/answer", token, "", 0, nil)
+	if err == nil && (status != 200 || string(raw) != a[2]) {
+		err = fmt.Errorf("status %d: %q", status, raw)
+	}
+	return err
+}
+
+func cmdEvent(w *world, a []string) error {
+	text := ""
+	if len(a) > 2 {
+		text = a[2]
+	}
+	return w.until(seconds(a[1]), func() error {
+		for _, name := range append(append([]string(nil), w.entries...), w.agents...) {
+			raw, _ := os.ReadFile(w.dir + "/" + name + ".log")
+			for _, line := range strings.Split(string(raw), "\n") {
+				if strings.Contains(line, "msg="+a[0]+" ") && strings.Contains(line, text) {
+					return nil
+				}
+			}
+		}
+		return fmt.Errorf("not logged")
+	})
+}
+
+func cmdSet(w *world, a []string) error {
+	var err error
+	for _, e := range w.entries {
+		if err = w.set(e, a[0], a[1]); err == nil {
+			return nil
+		}
+	}
+	return err
+}
+
+func (w *world) alive(name string) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.procs[name] != nil
+}
+
+// cmdInForce waits until every entry says that all it sees is as new as the
+// newest revision of all.
+func cmdInForce(w *world, a []string) error {
+	return w.until(seconds(a[0]), func() error {
+		newest, oldest, who := int64(0), int64(1<<62), ""
+		for _, e := range w.entries {
+			if !w.alive(e) {
+				continue
+			}
+			var st struct {
+				Processes []struct {
+					Name, State string
+					Revision    int64
+				}
+			}
+			if err := w.getJSON(e, "/v1/admin/status", operatorToken, &st); err != nil {
+				return err
+			}
+			for _, p := range st.Processes {
+				newest = max(newest, p.Revision)
+				if p.State != "silent" && p.Revision < oldest {
+					oldest, who = p.Revision, p.Name
+				}
+			}
+		}
+		if oldest < newest {
+			return fmt.Errorf("%s has revision %d of %d", who, oldest, newest)
+		}
+		return nil
+	})
+}
+
+// cmdAgents waits until every entry sees this many agents ready.
+func cmdAgents(w *world, a []string) error {
+	n, _ := strconv.Atoi(a[0])
+	return w.until(seconds(a[1]), func() error { return w.ready(n, false) })
+}
+
+// cmdPause lets time pass where the scenario is about time itself.
+func cmdPause(_ *world, a []string) error {
+	time.Sleep(seconds(a[0]))
+	return nil
+}
+
+// total counts all that an endpoint has run.
+func (w *world) total(ep string) (int, error) {
+	var counts map[string]int
+	n := 0
+	err := w.getJSON(ep, "/counts", "", &counts)
+	for _, c := range counts {
+		n += c
+	}
+	return n, err
+}
+
+func cmdQuiet(w *world, a []string) error {
+	before, err := w.total(a[0])
+	if err != nil {
+		return err
+	}
+	time.Sleep(seconds(a[1]))
+	after, err := w.total(a[0])
+	if err == nil && after != before {
+		err = fmt.Errorf("ran %d more", after-before)
+	}
+	return err
+}
+
+func cmdWorker(w *world, a []string) error {
+	return w.until(15*time.Second, func() error {
+		n, err := w.total(a[1])
+		if err == nil && n == 0 {
+			err = fmt.Errorf("ran nothing")
+		}
+		return err
+	})
+}
--- a/internal/standin/prog/link.go
+++ b/internal/standin/prog/link.go
@@ -10,7 +10,7 @@
 type linkCmd struct {
 	Listen  string `required:"" help:"UDP address to take packets at."`
 	To      string `required:"" help:"UDP address to pass them to."`
-	Control string `required:"" help:"HTTP address for POST /cut and POST /heal."`
+	Control string `required:"" help:"HTTP address for POST /cut and POST /heal, each with ?from= for one sender only."`
 }
 
 // maxPacket is the size of the largest UDP packet, in bytes.
@@ -22,8 +22,9 @@
 	front *net.UDPConn
 	to    *net.UDPAddr
 
-	mu    sync.Mutex
-	backs map[string]*net.UDPConn
+	mu      sync.Mutex
+	backs   map[string]*net.UDPConn
+	cutFrom map[string]bool
 }
 
 // Run forwards until the process is ended.
@@ -40,14 +41,30 @@
 	if err != nil {
 		return err
 	}
-	l := &link{front: front, to: to, backs: make(map[string]*net.UDPConn)}
+	l := &link{front: front, to: to, backs: make(map[string]*net.UDPConn), cutFrom: make(map[string]bool)}
 	go l.run()
 	mux := http.NewServeMux()
-	mux.HandleFunc("/cut", func(http.ResponseWriter, *http.Request) { l.cut.Store(true) })
-	mux.HandleFunc("/heal", func(http.ResponseWriter, *http.Request) { l.cut.Store(false) })
+	mux.HandleFunc("/cut", func(_ http.ResponseWriter, r *http.Request) { l.set(r.FormValue("from"), true) })
+	mux.HandleFunc("/heal", func(_ http.ResponseWriter, r *http.Request) { l.set(r.FormValue("from"), false) })
 	return http.ListenAndServe(c.Control, mux)
 }
 
+func (l *link) set(from string, cut bool) {
+	if from == "" {
+		l.cut.Store(cut)
+		return
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.cutFrom[from] = cut
+}
+
+func (l *link) open(from *net.UDPAddr) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return !l.cut.Load() && !l.cutFrom[from.String()]
+}
+
 func (l *link) run() {
 	buf := make([]byte, maxPacket)
 	for {
@@ -56,7 +73,7 @@
 			return
 		}
 		back, err := l.back(from)
-		if err == nil && !l.cut.Load() {
+		if err == nil && l.open(from) {
 			_, _ = back.Write(buf[:n])
 		}
 	}
@@ -84,7 +101,7 @@
 		if err != nil {
 			continue
 		}
-		if !l.cut.Load() {
+		if l.open(from) {
 			_, _ = l.front.WriteToUDP(buf[:n], from)
 		}
 	}
--- a/internal/standin/prog/prog.go
+++ b/internal/standin/prog/prog.go
@@ -10,6 +10,7 @@
 	"syscall"
 
 	"github.com/alecthomas/kong"
+	"github.com/pkg/errors"
 
 	"gypsumcrank/internal/standin/epfake"
 	"gypsumcrank/internal/standin/kvfake"
@@ -62,7 +63,17 @@
 	handler := ep.Handler()
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
-	go ep.Run(ctx)
+	srv := &http.Server{Addr: c.Listen, Handler: handler}
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		ep.Run(ctx)
+		_ = srv.Shutdown(context.Background())
+	}()
 	fmt.Println("endpoint ready", c.Listen)
-	return http.ListenAndServe(c.Listen, handler)
+	if err := srv.ListenAndServe(); !errors.Is(err, http.ErrServerClosed) {
+		return err
+	}
+	<-ended
+	return nil
 }
--- a/io/entry/control.go
+++ b/io/entry/control.go
@@ -40,6 +40,7 @@
 // requests that wait. Only the control goroutine touches it.
 type control struct {
 	entry    *Entry
+	started  clock.Millis
 	doc      conf.Document
 	docAt    clock.Millis
 	fleet    *fleet.Fleet
@@ -215,13 +216,25 @@
 	c.jobs[id] = jobView{rec: rec, rev: change.Rev}
 }
 
-func (c *control) ready(clock.Millis) (bool, string) {
+// ready tells whether the balancer may send callers here: there is a
+// configuration, and agents have been heard of, if there are any to hear of.
+func (c *control) ready(now clock.Millis) (bool, string) {
 	if !c.store.synced && c.doc.Revision == 0 {
 		return false, "no configuration yet, from the store or from a peer"
 	}
+	if c.started == 0 {
+		c.started = now
+	}
+	if len(c.fleet.All()) == 0 && now-c.started < firstReports {
+		return false, "no agent heard of yet"
+	}
 	return true, ""
 }
 
+// firstReports is how long a new entry waits to hear of agents before it takes
+// callers without any.
+const firstReports = 4 * clock.Second
+
 // reportMsg is an agent's report, with the entry it is at home with.
 type reportMsg struct {
 	report proto.ReportMsg
--- a/io/entry/request.go
+++ b/io/entry/request.go
@@ -182,7 +182,6 @@
 
 type grant struct {
 	place spec.Place
-	slots int
 	err   error
 }
 
--- a/io/wire/node.go
+++ b/io/wire/node.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"crypto/sha256"
 	"crypto/tls"
+	"crypto/x509"
 	"expvar"
 	"net"
 	"sync"
@@ -45,8 +47,9 @@
 	cancel    context.CancelFunc
 	serving   sync.WaitGroup
 
-	mu    sync.Mutex
-	conns map[string]*link
+	mu       sync.Mutex
+	conns    map[string]*link
+	accepted map[*quic.Conn]bool
 }
 
 // link is a connection that this node dialled, shared by its calls.
@@ -79,7 +82,12 @@
 	}
 	n.ctx, n.cancel = context.WithCancel(context.Background())
 	n.conns = make(map[string]*link)
-	n.transport = &quic.Transport{Conn: n.udp}
+	n.accepted = make(map[*quic.Conn]bool)
+	reset, err := resetKey(n.TLS)
+	if err != nil {
+		return err
+	}
+	n.transport = &quic.Transport{Conn: n.udp, StatelessResetKey: reset}
 	n.listener, err = n.transport.Listen(n.TLS, quicConfig())
 	if err != nil {
 		return errors.Wrap(err, "listen")
@@ -89,6 +97,21 @@
 	return nil
 }
 
+// resetKey is the same in each life of a process, so that a new one can tell
+// its callers that connections to the old one are gone.
+func resetKey(conf *tls.Config) (*quic.StatelessResetKey, error) {
+	cert, err := conf.GetCertificate(nil)
+	if err != nil {
+		return nil, err
+	}
+	raw, err := x509.MarshalPKCS8PrivateKey(cert.PrivateKey)
+	if err != nil {
+		return nil, errors.Wrap(err, "derive reset key")
+	}
+	key := quic.StatelessResetKey(sha256.Sum256(raw))
+	return &key, nil
+}
+
 // LocalAddr is the address that the node listens on.
 func (n *Node) LocalAddr() string { return n.udp.LocalAddr().String() }
 
@@ -99,6 +122,9 @@
 	for _, l := range n.conns {
 		l.close()
 	}
+	for conn := range n.accepted {
+		_ = conn.CloseWithError(0, "")
+	}
 	n.mu.Unlock()
 	_ = n.listener.Close()
 	_ = n.transport.Close()
@@ -130,6 +156,8 @@
 func (n *Node) runConn(conn *quic.Conn) {
 	openConns.Add(1)
 	defer openConns.Add(-1)
+	n.note(conn, true)
+	defer n.note(conn, false)
 	from := Peer{Role: certs.RoleOf(conn.ConnectionState().TLS), Addr: conn.RemoteAddr().String()}
 	for {
 		stream, err := conn.AcceptStream(n.ctx)
@@ -141,6 +169,16 @@
 	}
 }
 
+func (n *Node) note(conn *quic.Conn, open bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if open {
+		n.accepted[conn] = true
+	} else {
+		delete(n.accepted, conn)
+	}
+}
+
 func (n *Node) runStream(from Peer, stream *quic.Stream) {
 	defer n.serving.Done()
 	defer stream.Close()
