Replay of recorded traces, and a round on the order of searches

The trace showed entitled jobs evicting borrowers although free cells lay elsewhere. Ruled out: the eviction cost (it was never compared with a free cell, because the search for free cells came last).

--- /dev/null
+++ b/core/replay/report.go
@@ -0,0 +1,205 @@
+package replay
+
+import (
+	"fmt"
+	"io"
+	"sort"
+	"text/tabwriter"
+
+	"gypsumcrank/core/clock"
+	"gypsumcrank/core/sched"
+	"gypsumcrank/core/spec"
+)
+
+// UrgentBound is the target's bound for the start of urgent work.
+const UrgentBound = 9400 * clock.Millisecond
+
+// Report is what came of a trace.
+type Report struct {
+	Groups      []Group
+	All         Group
+	Jobs        int
+	Done        int
+	Refused     int
+	Cancelled   int
+	Open        int
+	Evictions   int
+	Failures    int
+	FailedJobs  int
+	Quarantines int
+	Unknown     int
+	LostWork    clock.Millis
+	// Fragmentation is the mean of 1 - largest adjacent free block / largest
+	// block that as many free accelerators could form.
+	Fragmentation float64
+	// Starved is the share of samples at which a waiting gang would have
+	// fitted the free accelerators by their number, but did not by their place.
+	Starved float64
+	// Busy is the mean share of accelerators in use while jobs waited.
+	Busy float64
+	// MostUnmet is the largest number of guaranteed accelerators that could
+	// not be had while all workers were up.
+	MostUnmet int
+
+	samples, starved, busySamples int
+	fragmentation, busy           float64
+}
+
+// Group is one client account's jobs of one class.
+type Group struct {
+	Account  string
+	Class    spec.Class
+	Jobs     int
+	Wait     Quantiles
+	Complete Quantiles
+	Slowdown float64
+	InBound  float64
+}
+
+// Quantiles of a span.
+type Quantiles struct {
+	P50, P95, P99 clock.Millis
+}
+
+func quantiles(all []clock.Millis) Quantiles {
+	sort.Slice(all, func(i, j int) bool { return all[i] < all[j] })
+	at := func(q float64) clock.Millis {
+		if len(all) == 0 {
+			return 0
+		}
+		return all[min(len(all)-1, int(q*float64(len(all))))]
+	}
+	return Quantiles{P50: at(0.50), P95: at(0.95), P99: at(0.99)}
+}
+
+func (r *Runner[P]) sample() {
+	r.at(r.now+sampleEvery, r.sample)
+	if len(r.workers) == 0 {
+		return
+	}
+	s := r.state()
+	r.report.samples++
+	r.report.fragmentation += sched.Fragmentation(s)
+	total, used, up := 0, 0, true
+	for _, w := range r.workers {
+		total += w.Accelerators
+		up = up && !w.down && w.Usable
+	}
+	for _, j := range r.running {
+		for _, u := range j.cells {
+			used += u.Cell.Size
+		}
+	}
+	if up {
+		r.report.MostUnmet = max(r.report.MostUnmet, sched.Unmet(s))
+	}
+	if len(r.waiting) > 0 && total > 0 {
+		r.report.busySamples++
+		r.report.busy += float64(used) / float64(total)
+	}
+	if r.starving(total - used) {
+		r.report.starved++
+	}
+}
+
+// starving tells whether a gang waits that the free accelerators would hold.
+func (r *Runner[P]) starving(free int) bool {
+	for _, j := range r.waiting {
+		if j.job.Tasks > 1 && j.job.Tasks*max(1, j.job.Accelerators) <= free && r.now-j.queuedAt > sampleEvery {
+			return true
+		}
+	}
+	return false
+}
+
+func (r *Runner[P]) finish() Report {
+	out := r.report
+	groups := make(map[string]*groupSums)
+	all := &groupSums{account: "all"}
+	for _, j := range r.order {
+		out.Jobs++
+		switch {
+		case j.refused:
+			out.Refused++
+			continue
+		case j.canceled:
+			out.Cancelled++
+			continue
+		case j.endedAt == 0:
+			out.Open++
+			continue
+		}
+		out.Done++
+		key := j.account + "/" + string(j.job.Class)
+		if groups[key] == nil {
+			groups[key] = &groupSums{account: j.account, class: j.job.Class}
+		}
+		groups[key].add(j)
+		all.add(j)
+	}
+	out.Done -= out.FailedJobs + out.Unknown
+	if len(all.waits) > 0 {
+		out.All = all.group()
+	}
+	for _, g := range groups {
+		out.Groups = append(out.Groups, g.group())
+	}
+	sort.Slice(out.Groups, func(i, j int) bool {
+		a, b := out.Groups[i], out.Groups[j]
+		if a.Account != b.Account {
+			return a.Account < b.Account
+		}
+		return a.Class.Rank() < b.Class.Rank()
+	})
+	if out.samples > 0 {
+		out.Fragmentation = out.fragmentation / float64(out.samples)
+		out.Starved = float64(out.starved) / float64(out.samples)
+	}
+	if out.busySamples > 0 {
+		out.Busy = out.busy / float64(out.busySamples)
+	}
+	return out
+}
+
+type groupSums struct {
+	account   string
+	class     spec.Class
+	waits     []clock.Millis
+	completes []clock.Millis
+	slowdown  float64
+	inBound   int
+}
+
+func (g *groupSums) add(j *jobState) {
+	wait := j.firstAt - j.queuedAt
+	complete := j.endedAt - j.queuedAt
+	g.waits = append(g.waits, wait)
+	g.completes = append(g.completes, complete)
+	g.slowdown += float64(complete) / float64(max(clock.Second, j.real))
+	if wait <= UrgentBound {
+		g.inBound++
+	}
+}
+
+func (g *groupSums) group() Group {
+	n := len(g.waits)
+	return Group{
+		Account: g.account, Class: g.class, Jobs: n,
+		Wait: quantiles(g.waits), Complete: quantiles(g.completes),
+		Slowdown: g.slowdown / float64(n), InBound: float64(g.inBound) / float64(n),
+	}
+}
+
+// Write prints the report as text.
+func (r Report) Write(w io.Writer) error {
+	fmt.Fprintf(w, "jobs %d: done %d, refused %d, cancelled %d, failed %d, unknown %d, open %d\n", r.Jobs, r.Done, r.Refused, r.Cancelled, r.FailedJobs, r.Unknown, r.Open)
+	fmt.Fprintf(w, "fragmentation %.3f, gangs starved by it %.3f of the time, busy while jobs wait %.3f\n", r.Fragmentation, r.Starved, r.Busy)
+	fmt.Fprintf(w, "evictions %d, failed attempts %d, quarantines %d, work lost %s, most unmet %d\n", r.Evictions, r.Failures, r.Quarantines, r.LostWork, r.MostUnmet)
+	t := tabwriter.NewWriter(w, 0, 4, 2, ' ', tabwriter.AlignRight)
+	fmt.Fprintln(t, "account\tclass\tjobs\twait p50\tp95\tp99\tcomplete p50\tp95\tp99\tslowdown\tin 9.4 s\t")
+	for _, g := range append(append([]Group(nil), r.Groups...), r.All) {
+		fmt.Fprintf(t, "%s\t%s\t%d\t%s\t%s\t%s\t%s\t%s\t%s\t%.2f\t%.2f\t\n", g.Account, g.Class, g.Jobs,
+			g.Wait.P50, g.Wait.P95, g.Wait.P99, g.Complete.P50, g.Complete.P95, g.Complete.P99, g.Slowdown, g.InBound)
+	}
+	return t.Flush()
+}
--- a/core/sched/place.go
+++ b/core/sched/place.go
@@ -111,6 +111,10 @@
 	return true
 }
 
+// mostChecks bounds the cells that are tried one by one for a task, so that a
+// round's time stays bounded in a large cluster.
+const mostChecks = 64
+
 type offer struct {
 	use     Use
 	index   int
@@ -134,6 +138,9 @@
 		return true
 	}
 	sort.SliceStable(offers, func(i, j int) bool { return offers[i].cost < offers[j].cost })
+	if len(offers) > mostChecks {
+		offers = offers[:mostChecks]
+	}
 	for _, o := range offers {
 		undo := t.accept(o)
 		if check() {
--- a/core/sched/plan.go
+++ b/core/sched/plan.go
@@ -12,7 +12,7 @@
 // Make decides what should happen now under a policy.
 func Make[P Policy](p P, s State) Plan {
 	v := newView(s)
-	m := &maker{v: v, policy: p, state: s}
+	m := &maker{v: v, policy: p, state: s, failed: make(map[shape]bool)}
 	m.run()
 	return m.plan
 }
@@ -23,6 +23,7 @@
 	policy Policy
 	state  State
 	plan   Plan
+	failed map[shape]bool
 	held   []uint64
 	heldAt clock.Millis
 }
@@ -62,6 +63,10 @@
 		m.redeem(st)
 		return
 	}
+	if m.failed[shapeOf(st)] {
+		m.wait(st)
+		return
+	}
 	for _, q := range m.searches(st) {
 		t, ok := m.v.find(q, w)
 		switch {
@@ -74,11 +79,32 @@
 			return
 		}
 	}
+	m.failed[shapeOf(st)] = true
 	m.wait(st)
 }
 
+// shape is what decides whether a job fits. Placements only take cells, so a
+// shape that did not fit earlier in a round does not fit later in it.
+type shape struct {
+	account              string
+	tasks, accelerators  int
+	processors, memoryMB int
+	adjacent, evictable  bool
+	class                spec.Class
+	entitled             bool
+	avoids               int
+}
+
+func shapeOf(st Standing) shape {
+	j := st.Job
+	return shape{
+		account: st.Account, tasks: j.Tasks, accelerators: j.Accelerators, processors: j.Processors, memoryMB: j.MemoryMB,
+		adjacent: j.Adjacent, evictable: j.Evictable(), class: j.Class, entitled: st.Entitled, avoids: len(st.Avoid),
+	}
+}
+
 // searches lists the ways to place a job, best first. An entitled job takes
-// free cells inside its guarantee, then evicts for them, then takes any cells.
+// free cells inside its guarantee, then any free cells, and then evicts.
 func (m *maker) searches(st Standing) []search {
 	free := search{policy: m.policy, held: m.barred(st.Waiting)}
 	clear := search{policy: m.policy, may: m.evicts(st)}
@@ -88,7 +114,7 @@
 	freeIn := search{policy: m.policy, must: true, thrifty: true}
 	clearIn := search{policy: m.policy, must: true, thrifty: true, may: clear.may}
 	clearAny := search{policy: m.policy, must: true, may: clear.may}
-	return []search{freeIn, clearIn, clearAny, free}
+	return []search{freeIn, free, clearIn, clearAny}
 }
 
 // redeem places a job on the cells that were cleared for it, once they are free.
