Planner: cells under commit count as taken, waits after a step that led to nothing

Cause, from time lines of repeated runs on a busy machine: (1) reclaim missed its 9.4 s: a job whose commit was under way was in neither the waiting nor the running list of the next round, so its cells were given to the job just evicted from them; it then waited for its promise to run out (20 s). (2) While the store was out a commit in doubt was tried 50 times a second, and agents in doubt asked 10 times a second. (3) A member that had started ran 4.04 s alone when the planner died between two starts and the store was out. (4) An agent whose home had heard of no other entry had nowhere to go when that home stopped. Ruled out for (1): the lease (held all the time) and the proof (unmet was 0). Change: pending placements count as running; a promise is dropped when somebody who is not leaving sits on its cells; a step that changes no record waits 100 ms to 2 s; a started member of a gang needs to hear within 4 s that all have started or stops; while the store is out the last planner still ends the rest of gangs that lost a member; agents keep the entries named at their start; a new entry takes callers after one round of beats.

--- a/cmd/gypsumcrank/commands_test.go
+++ b/cmd/gypsumcrank/commands_test.go
@@ -35,6 +35,8 @@
 //	agents N SECONDS                 all entries come to see N agents ready
 //	quiet ENDPOINT SECONDS           the endpoint starts nothing in that time
 //	load N, loaded LEAST             callers in the background, and none may fail
+//	busy N                           wait until N more of them are answered
+//	ready ENTRY SECONDS              the entry comes to take callers
 //	worker ID ENDPOINT               wait until a job's task runs there
 //	health                           what must hold in every scenario
 func commandTable() map[string]func(*testscript.TestScript, bool, []string) {
@@ -45,7 +47,7 @@
 		"heal":  func(w *world, a []string) error { return w.cut(a[0], "heal") },
 		"fault": cmdFault, "send": cmdSend, "got": cmdGot, "same": cmdSame, "runs": cmdRuns, "reaches": cmdReaches,
 		"job": cmdJob, "state": cmdState, "stays": cmdStays, "event": cmdEvent, "set": cmdSet, "inforce": cmdInForce,
-		"answer": cmdAnswer, "health": cmdHealth, "load": cmdLoad, "loaded": cmdLoaded, "agents": cmdAgents, "pause": cmdPause, "quiet": cmdQuiet, "worker": cmdWorker,
+		"answer": cmdAnswer, "health": cmdHealth, "load": cmdLoad, "loaded": cmdLoaded, "agents": cmdAgents, "pause": cmdPause, "quiet": cmdQuiet, "busy": cmdBusy, "ready": cmdReady, "worker": cmdWorker,
 	}
 	out := make(map[string]func(*testscript.TestScript, bool, []string))
 	for name, f := range table {
--- a/cmd/gypsumcrank/health_test.go
+++ b/cmd/gypsumcrank/health_test.go
@@ -126,7 +126,30 @@
 		w.running.wg.Add(1)
 		go w.runCaller(w.running, i)
 	}
-	return nil
+	return cmdBusy(w, []string{"20"})
+}
+
+// cmdBusy waits until so many more requests have been answered.
+func cmdBusy(w *world, a []string) error {
+	more, _ := strconv.ParseInt(a[0], 10, 64)
+	want := w.running.sent.Load() + more
+	return w.until(30*time.Second, func() error {
+		if n := w.running.sent.Load(); n < want {
+			return fmt.Errorf("%d of %d answered", n, want)
+		}
+		return nil
+	})
+}
+
+// cmdReady waits until an entry tells the balancer that it takes callers.
+func cmdReady(w *world, a []string) error {
+	return w.until(seconds(a[1]), func() error {
+		status, body, err := w.call(a[0], "GET", "/v1/ready", "", "", 0, nil)
+		if err == nil && status != 200 {
+			err = fmt.Errorf("%s", body)
+		}
+		return err
+	})
 }
 
 func (w *world) runCaller(l *loadRun, i int) {
--- a/core/fleet/pick.go
+++ b/core/fleet/pick.go
@@ -198,3 +198,13 @@
 	a, ok := f.agents[name]
 	return ok && f.judge(now, a, job, 0, Sick)
 }
+
+// AnyUsable tells whether any agent takes work.
+func (f *Fleet) AnyUsable() bool {
+	for _, a := range f.agents {
+		if a.Usable() {
+			return true
+		}
+	}
+	return false
+}
--- a/core/ledg/task.go
+++ b/core/ledg/task.go
@@ -33,6 +33,8 @@
 	heldUntil  clock.Millis
 	asking     bool
 	starting   bool
+	confirmed  bool
+	confirmBy  clock.Millis
 	startedAt  clock.Millis
 	endedAt    clock.Millis
 	detail     string
@@ -121,7 +123,7 @@
 // Start moves a held task to running. It returns false if it was started
 // before. After it, the caller starts the task at the worker and says what
 // came of it with Started.
-func (l *Ledger) Start(_ clock.Millis, m proto.StartMsg) (*Task, bool, error) {
+func (l *Ledger) Start(now clock.Millis, m proto.StartMsg) (*Task, bool, error) {
 	if err := l.checkIncarnation(m.Incarnation); err != nil {
 		return nil, false, err
 	}
@@ -133,14 +135,16 @@
 	if !ok {
 		return nil, false, fault.New(fault.Fenced, "plan the job anew", "no reservation for attempt %d of job %s", m.Attempt, m.Job).WithOutcome(fault.NotRun)
 	}
-	return l.start(t)
+	return l.start(now, t)
 }
 
-func (l *Ledger) start(t *Task) (*Task, bool, error) {
+func (l *Ledger) start(now clock.Millis, t *Task) (*Task, bool, error) {
 	switch t.state {
 	case proto.TaskHeld:
 		t.state = proto.TaskRunning
 		t.starting = true
+		t.confirmed = t.gang <= 1
+		t.confirmBy = now + proto.ConfirmWindow
 		l.seq++
 		return t, true, nil
 	case proto.TaskRunning, proto.TaskDone:
@@ -163,6 +167,34 @@
 	}
 }
 
+// Confirm notes that the whole gang has started.
+func (l *Ledger) Confirm(m proto.ConfirmMsg) error {
+	if err := l.checkIncarnation(m.Incarnation); err != nil {
+		return err
+	}
+	if err := l.checkEpoch(m.Epoch); err != nil {
+		return err
+	}
+	if t, ok := l.tasks[TaskKey{Job: m.Job, Attempt: m.Attempt, Rank: m.Rank}]; ok {
+		t.confirmed = true
+	}
+	return nil
+}
+
+// Unconfirmed lists running tasks whose gang has not been confirmed in time;
+// each is listed once. They have to be stopped.
+func (l *Ledger) Unconfirmed(now clock.Millis) []TaskKey {
+	var out []TaskKey
+	for _, k := range l.Running() {
+		t := l.tasks[k]
+		if !t.confirmed && now > t.confirmBy {
+			t.confirmed = true
+			out = append(out, k)
+		}
+	}
+	return out
+}
+
 func (l *Ledger) end(now clock.Millis, t *Task, state proto.TaskState, detail string) {
 	if !t.live() {
 		return
@@ -239,7 +271,7 @@
 
 // Adopt takes in a task that the worker ran before this life of the agent.
 func (l *Ledger) Adopt(now clock.Millis, key TaskKey, account string, gang int, cell spec.Cell, state proto.TaskState, detail string) {
-	t := &Task{key: key, account: account, gang: gang, cell: cell, state: state, detail: detail}
+	t := &Task{key: key, account: account, gang: gang, cell: cell, state: state, detail: detail, confirmed: true}
 	if !t.live() {
 		t.endedAt = now
 	}
@@ -283,6 +315,9 @@
 	return out
 }
 
+// askAgain is how long a task in doubt waits before the next question.
+const askAgain = clock.Second
+
 // Resolved says what the gang's record holds for a task in doubt. A committed
 // one may start; an aborted one is let go; without an answer it stays held.
 func (l *Ledger) Resolved(now clock.Millis, key TaskKey, reply proto.ResolvedMsg, err error) (start bool) {
@@ -292,6 +327,7 @@
 	}
 	t.asking = false
 	if err != nil {
+		t.heldUntil = now + askAgain
 		return false
 	}
 	if !reply.Committed {
@@ -299,7 +335,7 @@
 		l.release(key)
 		return false
 	}
-	_, start, _ = l.start(t)
+	_, start, _ = l.start(now, t)
 	return start
 }
 
--- a/core/proto/proto.go
+++ b/core/proto/proto.go
@@ -17,6 +17,10 @@
 // StartWindow is how long after a gang's commit its tasks may still start.
 const StartWindow = 2 * clock.Second
 
+// ConfirmWindow is how long a started member waits to hear that the others have
+// started too.
+const ConfirmWindow = 4 * clock.Second
+
 // OkMsg says only that the message was taken.
 type OkMsg struct{}
 
@@ -93,6 +97,16 @@
 	Checkpoint  string       `json:"k,omitempty"`
 }
 
+// ConfirmMsg tells an agent that every member of a gang has started. Without it
+// a started member of a gang over several workers stops by itself.
+type ConfirmMsg struct {
+	Job         string `json:"j"`
+	Attempt     int    `json:"a"`
+	Rank        int    `json:"r"`
+	Epoch       int64  `json:"e"`
+	Incarnation string `json:"i"`
+}
+
 // StopMsg ends an attempt's task or reservation, and fences the attempt.
 type StopMsg struct {
 	Job         string `json:"j"`
@@ -239,6 +253,7 @@
 func (FenceMsg) Kind() string   { return "fence" }
 func (ReserveMsg) Kind() string { return "reserve" }
 func (StartMsg) Kind() string   { return "start" }
+func (ConfirmMsg) Kind() string { return "confirm" }
 func (StopMsg) Kind() string    { return "stop" }
 func (CollectMsg) Kind() string { return "collect" }
 func (ReportMsg) Kind() string  { return "report" }
--- a/core/sched/plan.go
+++ b/core/sched/plan.go
@@ -117,25 +117,46 @@
 	return []search{freeIn, free, clearIn, clearAny}
 }
 
-// redeem places a job on the cells that were cleared for it, once they are free.
+// redeem places a job on the cells that were cleared for it, once they are
+// free. Where that can't be hoped for any more it is planned anew.
 func (m *maker) redeem(st Standing) {
 	w := st.Waiting
+	free, hope := m.cleared(w)
+	switch {
+	case !hope:
+		m.v.release(w)
+		st.Promised = nil
+		m.one(st)
+	case !free:
+		m.plan.Waits = append(m.plan.Waits, Wait{ID: w.ID, Reason: "waits for evicted jobs to leave its cells"})
+	default:
+		m.v.release(w)
+		m.started(w, w.Promised)
+		m.plan.Placements = append(m.plan.Placements, Placement{ID: w.ID, Cells: w.Promised, Reason: "its reclaimed cells are free"})
+	}
+}
+
+// cleared tells whether a job's promised cells are free, and if not whether
+// all that holds them is on its way out.
+func (m *maker) cleared(w Waiting) (free, hope bool) {
+	free = true
 	for _, u := range w.Promised {
 		i, ok := m.v.index[u.Agent]
 		if !ok || !m.v.workers[i].Usable {
-			m.v.release(w)
-			st.Promised = nil
-			m.one(st)
-			return
+			return false, false
 		}
-		if m.v.busy[i]&mask(u.Cell) != 0 {
-			m.plan.Waits = append(m.plan.Waits, Wait{ID: w.ID, Reason: "waits for evicted jobs to leave its cells"})
-			return
+		if m.v.busy[i]&mask(u.Cell) == 0 {
+			continue
+		}
+		free = false
+		for _, id := range m.v.onWorker(i) {
+			r := m.v.jobs[id]
+			if id != w.ID && !r.Stopping && r.maskOn(u.Agent)&mask(u.Cell) != 0 {
+				return false, false
+			}
 		}
 	}
-	m.v.release(w)
-	m.started(w, w.Promised)
-	m.plan.Placements = append(m.plan.Placements, Placement{ID: w.ID, Cells: w.Promised, Reason: "its reclaimed cells are free"})
+	return free, true
 }
 
 func (m *maker) started(w Waiting, cells []Use) {
--- a/io/agent/control.go
+++ b/io/agent/control.go
@@ -94,9 +94,26 @@
 	for _, key := range l.Doubts(now) {
 		cmds = append(cmds, c.resolve(key, now))
 	}
+	for _, key := range l.Unconfirmed(now) {
+		cmds = append(cmds, c.giveUp(key))
+	}
 	return cmds
 }
 
+// giveUp stops a member whose gang was not confirmed to have started.
+func (c *control) giveUp(key ledg.TaskKey) kern.Cmd {
+	url := c.worker.URL
+	return func(ctx context.Context) kern.Msg {
+		state, checkpoint, err := c.agent.client.Stop(ctx, url, key.ID())
+		if err != nil {
+			return nil
+		}
+		c.agent.line.Add(event.Event{Kind: "gang_unconfirmed", Job: key.Job, Attempt: key.ID()})
+		c.agent.noteStopped(key, state, checkpoint)
+		return nil
+	}
+}
+
 func (c *control) announce(now clock.Millis, w spec.Worker) []kern.Cmd {
 	c.announced = now
 	c.worker = w
--- a/io/agent/home.go
+++ b/io/agent/home.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"hash/fnv"
+	"slices"
 	"sort"
 	"sync"
 	"time"
@@ -205,9 +206,7 @@
 	h.mu.Lock()
 	changed := h.current != entry
 	h.current = entry
-	if len(w.Entries) > 0 {
-		h.entries = w.Entries
-	}
+	h.entries = union(w.Entries, h.agent.Entries)
 	h.mu.Unlock()
 	if changed {
 		h.agent.line.Add(event.Event{Kind: "home_found", Detail: entry})
@@ -218,6 +217,18 @@
 	}
 }
 
+// union joins two lists; what was named at the start always stays, since the
+// entries heard of last may all be gone at once.
+func union(a, b []string) []string {
+	out := append([]string(nil), a...)
+	for _, x := range b {
+		if !slices.Contains(out, x) {
+			out = append(out, x)
+		}
+	}
+	return out
+}
+
 // call asks the home entry, or the next one, something.
 func (h *home) call(ctx context.Context, m wire.Message, reply *proto.ResolvedMsg) error {
 	ctx, cancel := context.WithTimeout(ctx, 2*homeCallTimeout)
--- a/io/agent/serve.go
+++ b/io/agent/serve.go
@@ -21,6 +21,7 @@
 	wire.Handle(m, a.onFence, certs.Entry)
 	wire.Handle(m, a.onReserve, certs.Entry)
 	wire.Handle(m, a.onStart, certs.Entry)
+	wire.Handle(m, a.onConfirm, certs.Entry)
 	wire.Handle(m, a.onStop, certs.Entry)
 	wire.Handle(m, a.onCollect, certs.Entry)
 	wire.Handle(m, a.onEvents, certs.Entry)
@@ -181,6 +182,12 @@
 	return proto.OkMsg{}, err
 }
 
+func (a *Agent) onConfirm(_ context.Context, _ wire.Peer, m proto.ConfirmMsg) (proto.OkMsg, error) {
+	err := stopped()
+	a.ask(func(l *ledg.Ledger, _ clock.Millis) { err = l.Confirm(m) })
+	return proto.OkMsg{}, err
+}
+
 func (a *Agent) onStop(ctx context.Context, _ wire.Peer, m proto.StopMsg) (proto.StoppedMsg, error) {
 	var run bool
 	var out proto.StoppedMsg
--- a/io/entry/commit.go
+++ b/io/entry/commit.go
@@ -27,7 +27,7 @@
 	startTimeout   = 3 * time.Second
 	stopTimeout    = 5 * time.Second
 	// holdFor is how long an agent holds a cell before it asks for the record.
-	holdFor = 4 * clock.Second
+	holdFor = 2500 * clock.Millisecond
 )
 
 // each calls f for every member at once and returns the errors by rank.
@@ -161,6 +161,7 @@
 			return
 		}
 	}
+	p.confirm(ctx, epoch, rec)
 	next := rec
 	next.State, _ = life.Jobs.Next(rec.State, life.Start)
 	next.StartedAt = p.entry.Clock.Now()
@@ -170,6 +171,20 @@
 	}
 }
 
+// confirm tells the members that all have started. One that does not hear it
+// stops by itself, and the others are ended for it.
+func (p *planner) confirm(ctx context.Context, epoch int64, rec spec.JobRecord) {
+	if gang.Spread(rec.Members) < 2 {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, reserveTimeout)
+	defer cancel()
+	each(rec.Members, func(m spec.Member) error {
+		_, err := wire.Call[proto.OkMsg](ctx, p.entry.node, m.Addr, proto.ConfirmMsg{Job: rec.ID, Attempt: rec.Attempt, Rank: m.Rank, Epoch: epoch, Incarnation: m.Incarnation})
+		return err
+	})
+}
+
 func checkpointOf(rec spec.JobRecord, rank int) string {
 	if rank < len(rec.Checkpoints) {
 		return rec.Checkpoints[rank]
--- a/io/entry/control.go
+++ b/io/entry/control.go
@@ -225,15 +225,19 @@
 	if c.started == 0 {
 		c.started = now
 	}
-	if len(c.fleet.All()) == 0 && now-c.started < firstReports {
-		return false, "no agent heard of yet"
+	age := now - c.started
+	if age < firstBeats || (!c.fleet.AnyUsable() && age < firstReports) {
+		return false, "agents are still being heard of"
 	}
 	return true, ""
 }
 
-// firstReports is how long a new entry waits to hear of agents before it takes
-// callers without any.
-const firstReports = 4 * clock.Second
+// A new entry waits before it takes callers: for one round of beats, so that
+// it knows the agents whose home it is, and longer if none takes work.
+const (
+	firstBeats   = 2500 * clock.Millisecond
+	firstReports = 6 * clock.Second
+)
 
 // reportMsg is an agent's report, with the entry it is at home with.
 type reportMsg struct {
--- a/io/entry/planner.go
+++ b/io/entry/planner.go
@@ -8,10 +8,12 @@
 
 	"gypsumcrank/core/clock"
 	"gypsumcrank/core/event"
+	"gypsumcrank/core/fault"
 	"gypsumcrank/core/fleet"
 	"gypsumcrank/core/gang"
 	"gypsumcrank/core/kern"
 	"gypsumcrank/core/life"
+	"gypsumcrank/core/retry"
 	"gypsumcrank/core/sched"
 	"gypsumcrank/core/spec"
 	"gypsumcrank/io/store"
@@ -27,6 +29,9 @@
 	promiseFor = 20 * clock.Second
 	// avoidFor is how long an agent that refused a reservation is passed over.
 	avoidFor = 2 * clock.Second
+	// A step that led to nothing is tried again after a wait between these.
+	firstSetback = 100 * clock.Millisecond
+	mostSetback  = 2 * clock.Second
 	// planJobs bounds the waiting jobs that one round looks at.
 	planJobs = 64
 )
@@ -47,6 +52,12 @@
 	c.leader = leaderView{name: string(change.Value), epoch: change.Rev}
 }
 
+// setback spaces out the tries of a step that changes nothing.
+type setback struct {
+	backoff retry.Backoff
+	until   clock.Millis
+}
+
 type promise struct {
 	cells []sched.Use
 	at    clock.Millis
@@ -66,9 +77,13 @@
 	turn     int
 	busy     map[string]bool
 	promises map[string]promise
-	waits    map[string]string
-	avoid    map[string]clock.Millis
-	failed   map[string]map[string]bool
+	// pending are the placements that are being committed.
+	pending map[string]sched.Running
+	waits   map[string]string
+	avoid   map[string]clock.Millis
+	// later holds back the next step of a job whose last one led to nothing.
+	later  map[string]*setback
+	failed map[string]map[string]bool
 }
 
 func newPlanner(e *Entry) *planner {
@@ -77,8 +92,10 @@
 		wake:     make(chan struct{}, 1),
 		busy:     make(map[string]bool),
 		promises: make(map[string]promise),
+		pending:  make(map[string]sched.Running),
 		waits:    make(map[string]string),
 		avoid:    make(map[string]clock.Millis),
+		later:    make(map[string]*setback),
 		failed:   make(map[string]map[string]bool),
 	}
 }
@@ -139,11 +156,12 @@
 func (p *planner) keepLease(ctx context.Context, lease int64) int64 {
 	began := p.entry.Clock.Now()
 	if lease != 0 {
-		if err := p.entry.Store.KeepAlive(ctx, lease); err == nil {
+		err := p.entry.Store.KeepAlive(ctx, lease)
+		if err == nil {
 			p.extend(began)
 			return lease
 		}
-		if p.leads() {
+		if fault.Is(err, fault.StoreOut) || p.leads() {
 			return lease
 		}
 		p.resign("the lease has lapsed")
@@ -200,8 +218,9 @@
 		case <-p.wake:
 			pause(ctx, planGap)
 		}
-		if epoch, ok := p.lead(); ok {
-			p.round(ctx, epoch)
+		epoch, ok := p.lead()
+		if epoch != 0 {
+			p.round(ctx, epoch, ok)
 		}
 	}
 }
@@ -209,30 +228,68 @@
 // todo is one job's next step, found in a round and done outside it.
 type todo func(ctx context.Context)
 
-// round looks at every open job once, and plans for those that wait.
-func (p *planner) round(ctx context.Context, epoch int64) {
+// round looks at every open job once, and plans for those that wait. Without
+// the lease, or while the store is out, it only ends the rest of gangs that
+// have lost a member, which needs no record to be safe.
+func (p *planner) round(ctx context.Context, epoch int64, leads bool) {
 	var state sched.State
 	var steps map[string]todo
+	out := false
 	p.entry.ask(func(c *control, now clock.Millis) {
 		state = c.schedState(now)
-		steps = p.steps(c, now, epoch)
+		out = c.store.out || !leads
+		if out {
+			steps = p.endParts(c, now, epoch)
+		} else {
+			steps = p.steps(c, now, epoch)
+		}
 	})
 	p.sweep(state)
+	if out {
+		p.waitForStore(state)
+		p.launchAll(ctx, steps)
+		return
+	}
 	plan := sched.Make(sched.Product{}, p.offer(state))
-	p.noteWaits(state, plan)
+	p.noteWaits(plan)
 	for _, place := range plan.Placements {
 		p.place(place, steps, epoch)
 	}
+	p.launchAll(ctx, steps)
+}
+
+func (p *planner) launchAll(ctx context.Context, steps map[string]todo) {
 	for id, do := range steps {
 		p.launch(ctx, id, do)
 	}
 }
 
+// endParts finds gangs that have lost a member, and ends their rest.
+func (p *planner) endParts(c *control, now clock.Millis, epoch int64) map[string]todo {
+	out := make(map[string]todo)
+	for id, v := range c.jobs {
+		rec := v.rec
+		if rec.State != spec.Running || gang.Spread(rec.Members) < 2 {
+			continue
+		}
+		if verdict := gang.Assess(now, rec, c.fleet); verdict.Act == gang.Halt {
+			out[id] = func(ctx context.Context) {
+				p.entry.line.Add(event.Event{Kind: "gang_ended", Job: rec.ID, Attempt: attemptText(rec), Epoch: epoch, Detail: verdict.Reason})
+				p.releaseAll(ctx, epoch, rec)
+			}
+		}
+	}
+	return out
+}
+
 // launch runs a job's step unless one is under way.
 func (p *planner) launch(ctx context.Context, id string, do todo) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.busy[id] {
+	if later := p.later[id]; p.busy[id] || (later != nil && p.entry.Clock.Now() < later.until) {
+		if !p.busy[id] {
+			delete(p.pending, id)
+		}
 		return
 	}
 	p.busy[id] = true
@@ -242,13 +299,29 @@
 
 func (p *planner) runStep(ctx context.Context, id string, do todo) {
 	defer p.wg.Done()
+	before, _ := p.current(id)
 	do(ctx)
+	after, _ := p.current(id)
 	p.mu.Lock()
 	delete(p.busy, id)
+	delete(p.pending, id)
+	p.setBack(id, before.rev == after.rev)
 	p.mu.Unlock()
 	p.nudge()
 }
 
+// setBack notes whether a step led to nothing. The caller holds the lock.
+func (p *planner) setBack(id string, nothing bool) {
+	if !nothing {
+		delete(p.later, id)
+		return
+	}
+	if p.later[id] == nil {
+		p.later[id] = &setback{backoff: retry.Backoff{First: firstSetback, Most: mostSetback}}
+	}
+	p.later[id].until = p.entry.Clock.Now() + p.later[id].backoff.Next()
+}
+
 // steps finds what the placed jobs need.
 func (p *planner) steps(c *control, now clock.Millis, epoch int64) map[string]todo {
 	out := make(map[string]todo)
@@ -334,6 +407,11 @@
 	for _, w := range s.Waiting {
 		waiting[w.ID] = true
 	}
+	for id := range p.later {
+		if !waiting[id] && !p.busy[id] && s.Now > p.later[id].until+mostSetback {
+			delete(p.later, id)
+		}
+	}
 	for id, pr := range p.promises {
 		if !waiting[id] || s.Now-pr.at > promiseFor {
 			delete(p.promises, id)
@@ -355,6 +433,15 @@
 			s.Workers[i].Usable = false
 		}
 	}
+	placed := make(map[string]bool)
+	for _, r := range s.Running {
+		placed[r.ID] = true
+	}
+	for id, r := range p.pending {
+		if !placed[id] {
+			s.Running = append(s.Running, r)
+		}
+	}
 	var waiting []sched.Waiting
 	for _, w := range s.Waiting {
 		if p.busy[w.ID] {
@@ -391,10 +478,23 @@
 		p.entry.line.Add(event.Event{Kind: "job_reclaims", Account: v.rec.Account, Job: pl.ID, Epoch: epoch, Detail: pl.Reason})
 		return
 	}
+	p.mu.Lock()
+	p.pending[pl.ID] = sched.Running{ID: pl.ID, Account: v.rec.Account, Job: v.rec.Spec, Cells: pl.Cells, StartedAt: now}
+	p.mu.Unlock()
 	steps[pl.ID] = func(ctx context.Context) { p.commit(ctx, epoch, v.rev, v.rec, pl) }
 }
 
-func (p *planner) noteWaits(s sched.State, plan sched.Plan) {
+// waitForStore says why nothing starts while the platform's store is out: a
+// start that is not recorded could not be told from one that is.
+func (p *planner) waitForStore(s sched.State) {
+	plan := sched.Plan{}
+	for _, w := range s.Waiting {
+		plan.Waits = append(plan.Waits, sched.Wait{ID: w.ID, Reason: "the platform's store is out; nothing can be committed"})
+	}
+	p.noteWaits(plan)
+}
+
+func (p *planner) noteWaits(plan sched.Plan) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	waits := make(map[string]string)
