--- /dev/null
+++ b/cmd/gypsumcrank/race_test.go
@@ -0,0 +1,117 @@
+package main
+
+import (
+	"fmt"
+	"regexp"
+	"strconv"
+	"sync"
+	"time"
+)
+
+// cmdRace has two operators read the same revision and then set at once.
+func cmdRace(w *world, a []string) error {
+	var st struct{ Revision int64 }
+	if err := w.getJSON("entry-1", "/v1/admin/status", operatorToken, &st); err != nil {
+		return err
+	}
+	w.raced = nil
+	var mu sync.Mutex
+	var wg sync.WaitGroup
+	for i := range 2 {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			body := fmt.Appendf(nil, `{"path":%q,"value":%q,"by":"operator-%d","nonce":"","expect":%d}`, a[2*i], a[2*i+1], i, st.Revision)
+			status, raw, err := w.call(w.entries[i], "PUT", "/v1/admin/config", operatorToken, "", 0, body)
+			mu.Lock()
+			defer mu.Unlock()
+			w.raced = append(w.raced, answer{status: status, body: string(raw), err: err})
+		}()
+	}
+	wg.Wait()
+	return nil
+}
+
+func cmdRaced(w *world, a []string) error {
+	want, _ := strconv.Atoi(a[0])
+	accepted := 0
+	for _, r := range w.raced {
+		switch {
+		case r.err != nil:
+			return r.err
+		case r.status == 200:
+			accepted++
+		case len(a) > 1 && !regexp.MustCompile(a[1]).MatchString(r.body):
+			return fmt.Errorf("was told %s", r.body)
+		}
+	}
+	if accepted != want {
+		return fmt.Errorf("%d were accepted: %+v", accepted, w.raced)
+	}
+	return nil
+}
+
+// atOnce is how soon a refusal has to come.
+const atOnce = time.Second
+
+// mostSent bounds the sends for each request that was asked for.
+const mostSent = 1.1
+
+// cmdFlood overloads the entries: every refusal must come at once with a time
+// to come back, and agents must not be asked much more often than callers ask.
+func cmdFlood(w *world, a []string) error {
+	callers, _ := strconv.Atoi(a[0])
+	before, err := w.sentSoFar()
+	if err != nil {
+		return err
+	}
+	end := time.Now().Add(seconds(a[1]))
+	var mu sync.Mutex
+	var wg sync.WaitGroup
+	var bad error
+	asked, refused := 0, 0
+	for i := range callers {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			for time.Now().Before(end) {
+				got := w.ask(w.entries[i%len(w.entries)], "/v1/services/swatch/requests", "", 8000, `{"work_ms":50}`)
+				mu.Lock()
+				asked++
+				if got.outcome != "done" {
+					refused++
+					if got.outcome != "not_run" || got.retry == "" || got.took > atOnce {
+						bad = fmt.Errorf("refusal %+v", got)
+					}
+				}
+				mu.Unlock()
+				if got.outcome != "done" {
+					time.Sleep(50 * time.Millisecond)
+				}
+			}
+		}()
+	}
+	wg.Wait()
+	after, err := w.sentSoFar()
+	if err != nil || bad != nil {
+		return fmt.Errorf("%v %v", err, bad)
+	}
+	sent := after - before
+	if refused == 0 || float64(sent) > mostSent*float64(asked) {
+		return fmt.Errorf("%d asked, %d refused, %d sent", asked, refused, sent)
+	}
+	return nil
+}
+
+func (w *world) sentSoFar() (sent int, err error) {
+	for _, e := range w.entries {
+		var vars struct {
+			Sent int `json:"requests_sent"`
+		}
+		if err := w.getJSON(e, "/debug/vars", "", &vars); err != nil {
+			return 0, err
+		}
+		sent += vars.Sent
+	}
+	return sent, nil
+}
--- a/cmd/gypsumcrank/world_test.go
+++ b/cmd/gypsumcrank/world_test.go
@@ -55,6 +55,7 @@
 	jobs    map[string]string
 	ended   map[string]*process
 	running *loadRun
+	raced   []answer
 }
 
 // answer is what a caller got.
--- a/core/sched/place.go
+++ b/core/sched/place.go
@@ -51,6 +51,8 @@
 	must bool
 	// thrifty tells that the job may cost the guarantee no more than its size.
 	thrifty bool
+	// checks, if not nil, bounds the proofs of all searches that share it.
+	checks *int
 }
 
 // find places a job on free cells, or on cells that victims leave. It returns
@@ -60,6 +62,10 @@
 	before := bound.unmet()
 	want, left := bound.after(w, q, v), bound.left()
 	checks := findChecks
+	if q.checks != nil {
+		checks = min(checks, *q.checks)
+		defer func(had int) { *q.checks -= had - max(0, checks) }(checks)
+	}
 	for _, kind := range v.domains(w.Job) {
 		var best *trial
 		for _, domain := range kind {
--- a/core/sched/plan.go
+++ b/core/sched/plan.go
@@ -9,10 +9,15 @@
 	"gypsumcrank/core/spec"
 )
 
+// roundChecks bounds the proofs of one round; what it leaves out is looked at
+// in the rounds after.
+const roundChecks = 4000
+
 // Make decides what should happen now under a policy.
 func Make[P Policy](p P, s State) Plan {
 	v := newView(s)
-	m := &maker{v: v, policy: p, state: s, failed: make(map[shape]bool)}
+	checks := roundChecks
+	m := &maker{v: v, policy: p, state: s, failed: make(map[shape]bool), checks: &checks}
 	m.run()
 	return m.plan
 }
@@ -24,6 +29,7 @@
 	state  State
 	plan   Plan
 	failed map[shape]bool
+	checks *int
 	held   []uint64
 	heldAt clock.Millis
 }
@@ -106,14 +112,14 @@
 // searches lists the ways to place a job, best first. An entitled job takes
 // free cells inside its guarantee, then any free cells, and then evicts.
 func (m *maker) searches(st Standing) []search {
-	free := search{policy: m.policy, held: m.barred(st.Waiting)}
-	clear := search{policy: m.policy, may: m.evicts(st)}
+	free := search{policy: m.policy, held: m.barred(st.Waiting), checks: m.checks}
+	clear := search{policy: m.policy, may: m.evicts(st), checks: m.checks}
 	if !st.Entitled {
 		return []search{free, clear}
 	}
-	freeIn := search{policy: m.policy, must: true, thrifty: true}
-	clearIn := search{policy: m.policy, must: true, thrifty: true, may: clear.may}
-	clearAny := search{policy: m.policy, must: true, may: clear.may}
+	freeIn := search{policy: m.policy, must: true, thrifty: true, checks: m.checks}
+	clearIn := search{policy: m.policy, must: true, thrifty: true, may: clear.may, checks: m.checks}
+	clearAny := search{policy: m.policy, must: true, may: clear.may, checks: m.checks}
 	free.thrifty = !st.Job.Evictable()
 	return []search{freeIn, free, clearIn, clearAny}
 }
@@ -222,7 +228,7 @@
 	}
 	for _, e := range ends {
 		later.remove(e.id)
-		if t, ok := later.find(search{policy: m.policy}, w); ok {
+		if t, ok := later.find(search{policy: m.policy, checks: m.checks}, w); ok {
 			m.held = make([]uint64, len(m.v.workers))
 			m.heldAt = e.at
 			for _, u := range t.cells {
--- a/internal/traces/main.go
+++ b/internal/traces/main.go
@@ -292,13 +292,13 @@
 		case 0, 1:
 			m.submit(at, account, burstCheck(), m.span(5*clock.Minute))
 		case 2:
-			m.submit(at, account, spec.Job{Service: "train", Tasks: 32, Accelerators: 4, Checkpoints: true, Class: spec.Batch}, m.span(4*clock.Hour))
+			m.submit(at, account, spec.Job{Service: "train", Tasks: 32, Accelerators: 4, Checkpoints: true, Class: spec.Batch}, m.span(2*clock.Hour))
 		case 3, 4:
-			m.submit(at, account, spec.Job{Service: "train", Tasks: 8 + m.rng.IntN(9), Accelerators: 8, Checkpoints: true, Class: spec.Batch}, m.span(4*clock.Hour))
+			m.submit(at, account, spec.Job{Service: "train", Tasks: 8 + m.rng.IntN(9), Accelerators: 8, Checkpoints: true, Class: spec.Batch}, m.span(2*clock.Hour))
 		case 5:
-			m.submit(at, account, spec.Job{Service: "index", Tasks: 1 + m.rng.IntN(6), Accelerators: 8, Adjacent: true}, m.span(3*clock.Hour))
+			m.submit(at, account, spec.Job{Service: "index", Tasks: 1 + m.rng.IntN(6), Accelerators: 8, Adjacent: true}, m.span(100*clock.Minute))
 		default:
-			m.submit(at, account, spec.Job{Service: "tune", Tasks: 1 + m.rng.IntN(16), Accelerators: 1 << m.rng.IntN(3), Checkpoints: true}, m.span(3*clock.Hour))
+			m.submit(at, account, spec.Job{Service: "tune", Tasks: 1 + m.rng.IntN(16), Accelerators: 1 << m.rng.IntN(3), Checkpoints: true}, m.span(100*clock.Minute))
 		}
 	}
 }
--- a/io/entry/control.go
+++ b/io/entry/control.go
@@ -14,6 +14,7 @@
 	"gypsumcrank/core/proto"
 	"gypsumcrank/core/queue"
 	"gypsumcrank/core/retry"
+	"gypsumcrank/core/sched"
 	"gypsumcrank/core/spec"
 	"gypsumcrank/io/store"
 )
@@ -54,6 +55,8 @@
 	store    storeView
 	flights  map[string]map[*flight]bool
 	leader   leaderView
+	// estimates are learnt from the jobs that end, at every entry alike.
+	estimates sched.Estimates
 }
 
 func newControl(e *Entry) *control {
@@ -213,6 +216,9 @@
 		c.entry.Log.Error("job_unreadable", "job", id, "error", err, "remedy", "delete the key "+change.Key)
 		return
 	}
+	if old := c.jobs[id].rec; old.State == spec.Running && rec.State == spec.Done {
+		c.estimates.Learn(rec.Account, rec.Spec, rec.EndedAt-old.StartedAt)
+	}
 	c.jobs[id] = jobView{rec: rec, rev: change.Rev}
 }
 
--- a/io/entry/planner.go
+++ b/io/entry/planner.go
@@ -374,9 +374,12 @@
 	for id, v := range c.jobs {
 		switch v.rec.State {
 		case spec.Queued:
-			s.Waiting = append(s.Waiting, sched.Waiting{ID: id, Account: v.rec.Account, Job: v.rec.Spec, QueuedAt: v.rec.QueuedAt})
+			job := c.estimates.Correct(v.rec.Account, v.rec.Spec)
+			s.Waiting = append(s.Waiting, sched.Waiting{ID: id, Account: v.rec.Account, Job: job, QueuedAt: v.rec.QueuedAt})
 		case spec.Committed, spec.Running, spec.Stopping:
-			s.Running = append(s.Running, schedRunning(v.rec))
+			r := schedRunning(v.rec)
+			r.Job = c.estimates.Correct(v.rec.Account, v.rec.Spec)
+			s.Running = append(s.Running, r)
 		}
 	}
 	return s
