Scenarios: reservations of a dead gang are freed; a cut-off member has ended when its job is given up

Cause: mutation trials. An agent that never asks for the record, and a cut-off member that keeps its lease, were not noticed by the scenarios there were. Health now also counts the starts of run-once jobs' tasks from the endpoints' own spans.

--- a/cmd/gypsumcrank/commands_test.go
+++ b/cmd/gypsumcrank/commands_test.go
@@ -10,6 +10,8 @@
 	"time"
 
 	"github.com/rogpeppe/go-internal/testscript"
+
+	"gypsumcrank/internal/standin/epfake"
 )
 
 type command func(w *world, args []string) error
@@ -26,7 +28,9 @@
 //	same ID ID                       both got the same body
 //	runs NAME N                      an endpoint ran it N times, by now and for good
 //	reaches NAME N                   an endpoint comes to have run it N times
-//	job ID ENTRY KEY TOKEN JSON      submit a job
+//	job ID ENTRY KEY TOKEN JSON      submit a job, at another entry if that one is gone
+//	cancel ID                        cancel one of the first account's jobs
+//	ended ENDPOINT SECONDS           no task runs there any more, in time
 //	state ID STATE SECONDS           the job comes to this state in time
 //	stays ID STATE SECONDS           the job is in this state all that time
 //	event KIND SECONDS [TEXT]        some process comes to log it
@@ -49,7 +53,7 @@
 		"cut":   func(w *world, a []string) error { return w.cut(a[0], "cut") },
 		"heal":  func(w *world, a []string) error { return w.cut(a[0], "heal") },
 		"fault": cmdFault, "send": cmdSend, "got": cmdGot, "same": cmdSame, "runs": cmdRuns, "reaches": cmdReaches,
-		"job": cmdJob, "state": cmdState, "stays": cmdStays, "event": cmdEvent, "set": cmdSet, "inforce": cmdInForce,
+		"job": cmdJob, "cancel": cmdCancel, "ended": cmdEnded, "state": cmdState, "stays": cmdStays, "event": cmdEvent, "set": cmdSet, "inforce": cmdInForce,
 		"answer": cmdAnswer, "health": cmdHealth, "load": cmdLoad, "loaded": cmdLoaded, "agents": cmdAgents, "pause": cmdPause, "quiet": cmdQuiet, "race": cmdRace, "raced": cmdRaced, "flood": cmdFlood, "busy": cmdBusy, "ready": cmdReady, "worker": cmdWorker,
 	}
 	out := make(map[string]func(*testscript.TestScript, bool, []string))
@@ -218,7 +222,13 @@
 }
 
 func cmdJob(w *world, a []string) error {
-	status, raw, err := w.call(a[1], "POST", "/v1/jobs", a[3], a[2], 0, []byte(a[4]))
+	entry := a[1]
+	for _, e := range w.entries {
+		if !w.alive(entry) {
+			entry = e
+		}
+	}
+	status, raw, err := w.call(entry, "POST", "/v1/jobs", a[3], a[2], 0, []byte(a[4]))
 	if err != nil {
 		return err
 	}
@@ -230,6 +240,36 @@
 	return nil
 }
 
+func cmdCancel(w *world, a []string) error {
+	return w.until(10*time.Second, func() error {
+		var last error
+		for _, e := range w.entries {
+			status, raw, err := w.call(e, "DELETE", "/v1/jobs/"+w.jobs[a[0]], accountToken, "", 0, nil)
+			if err == nil && status < 300 {
+				return nil
+			}
+			last = fmt.Errorf("status %d: %s %v", status, raw, err)
+		}
+		return last
+	})
+}
+
+// cmdEnded wants every task at an endpoint to end in time.
+func cmdEnded(w *world, a []string) error {
+	return w.until(seconds(a[1]), func() error {
+		var spans []epfake.Span
+		if err := w.getJSON(a[0], "/spans", "", &spans); err != nil {
+			return err
+		}
+		for _, s := range spans {
+			if s.End == 0 && s.Job != "" {
+				return fmt.Errorf("%s still runs", s.Job)
+			}
+		}
+		return nil
+	})
+}
+
 // stateOf reads a job's state at any entry that answers.
 func (w *world) stateOf(id string) (state, reason string, err error) {
 	token := otherToken
--- a/cmd/gypsumcrank/health_test.go
+++ b/cmd/gypsumcrank/health_test.go
@@ -9,6 +9,7 @@
 	"sync/atomic"
 	"time"
 
+	"gypsumcrank/core/spec"
 	"gypsumcrank/internal/standin/epfake"
 )
 
@@ -41,9 +42,31 @@
 		}
 		spans = append(spans, some...)
 	}
+	if err := w.onceOnly(spans); err != nil {
+		return err
+	}
 	return wholeGangs(w, spans)
 }
 
+// onceOnly checks that no task of a run-once job started more than once.
+func (w *world) onceOnly(spans []epfake.Span) error {
+	starts := make(map[string]int)
+	for _, s := range spans {
+		starts[fmt.Sprintf("%s.%d", s.Job, s.Rank)]++
+	}
+	for _, s := range spans {
+		if s.Job != "" && starts[fmt.Sprintf("%s.%d", s.Job, s.Rank)] > 1 && w.runOnce(s.Job) {
+			return fmt.Errorf("task %d of run-once job %s started more than once", s.Rank, s.Job)
+		}
+	}
+	return nil
+}
+
+func (w *world) runOnce(job string) bool {
+	known, ok := w.jobSpec(job)
+	return ok && !known.Idempotent && !known.Checkpoints
+}
+
 func wholeGangs(w *world, spans []epfake.Span) error {
 	attempts := make(map[string][]epfake.Span)
 	for _, s := range spans {
@@ -70,15 +93,23 @@
 }
 
 func (w *world) gangSize(job string) int {
+	known, ok := w.jobSpec(job)
+	if !ok {
+		return 1
+	}
+	return known.Tasks
+}
+
+func (w *world) jobSpec(job string) (spec.Job, bool) {
 	for _, e := range w.entries {
 		for _, token := range []string{accountToken, otherToken} {
-			var rec struct{ Spec struct{ Tasks int } }
+			var rec spec.JobRecord
 			if w.getJSON(e, "/v1/jobs/"+job, token, &rec) == nil {
-				return rec.Spec.Tasks
+				return rec.Spec, true
 			}
 		}
 	}
-	return 1
+	return spec.Job{}, false
 }
 
 // aloneTime adds up the time in which some but not all members ran, before the
