Connections: slower keep-alives, and a new dial after a call without reply

Each open connection cost 145 bytes/s for keep-alives of 2 s; 38 agents at home with an entry at the target would be 5.4 KB/s of the 7 allowed, before any beat. Change: keep-alives of 10 s. So that a healed cut is not waited for, a call that had no reply in time retires its connection, and the next one dials anew. Ruled out: no keep-alives at all (a new handshake with each slow beat costs more).

--- a/cmd/gypsumcrank/commands_test.go
+++ b/cmd/gypsumcrank/commands_test.go
@@ -29,6 +29,7 @@
 //	runs NAME N                      an endpoint ran it N times, by now and for good
 //	reaches NAME N                   an endpoint comes to have run it N times
 //	job ID ENTRY KEY TOKEN JSON      submit a job, at another entry if that one is gone
+//	notice AGENT                     tell an agent that its endpoint is leaving
 //	cancel ID                        cancel one of the first account's jobs
 //	ended ENDPOINT SECONDS           no task runs there any more, in time
 //	state ID STATE SECONDS           the job comes to this state in time
@@ -53,7 +54,7 @@
 		"cut":   func(w *world, a []string) error { return w.cut(a[0], "cut") },
 		"heal":  func(w *world, a []string) error { return w.cut(a[0], "heal") },
 		"fault": cmdFault, "send": cmdSend, "got": cmdGot, "same": cmdSame, "runs": cmdRuns, "reaches": cmdReaches,
-		"job": cmdJob, "cancel": cmdCancel, "ended": cmdEnded, "state": cmdState, "stays": cmdStays, "event": cmdEvent, "set": cmdSet, "inforce": cmdInForce,
+		"job": cmdJob, "cancel": cmdCancel, "notice": cmdNotice, "ended": cmdEnded, "state": cmdState, "stays": cmdStays, "event": cmdEvent, "set": cmdSet, "inforce": cmdInForce,
 		"answer": cmdAnswer, "health": cmdHealth, "load": cmdLoad, "loaded": cmdLoaded, "agents": cmdAgents, "pause": cmdPause, "quiet": cmdQuiet, "race": cmdRace, "raced": cmdRaced, "flood": cmdFlood, "busy": cmdBusy, "ready": cmdReady, "worker": cmdWorker,
 	}
 	out := make(map[string]func(*testscript.TestScript, bool, []string))
@@ -254,6 +255,14 @@
 	})
 }
 
+func cmdNotice(w *world, a []string) error {
+	status, raw, err := w.call(a[0], "POST", "/v1/leave", "", "", 0, nil)
+	if err == nil && status != 200 {
+		err = fmt.Errorf("status %d: %s", status, raw)
+	}
+	return err
+}
+
 // cmdEnded wants every task at an endpoint to end in time.
 func cmdEnded(w *world, a []string) error {
 	return w.until(seconds(a[1]), func() error {
--- a/cmd/gypsumcrank/world_test.go
+++ b/cmd/gypsumcrank/world_test.go
@@ -95,6 +95,9 @@
 
 var nextPort atomic.Int64
 
+// Test processes that run at the same time begin at different ports.
+func init() { nextPort.Store(int64(os.Getpid()) * 131 % (lastPort - firstPort)) }
+
 // freePort gives an address that no other scenario of this run is given.
 func freePort() string {
 	for {
--- a/io/wire/node.go
+++ b/io/wire/node.go
@@ -21,8 +21,8 @@
 // Times of connections.
 const (
 	handshakeTimeout = 2 * time.Second
-	silenceTimeout   = 6 * time.Second
-	keepAlivePeriod  = 2 * time.Second
+	silenceTimeout   = 30 * time.Second
+	keepAlivePeriod  = 10 * time.Second
 	unusedTimeout    = 60 * time.Second
 	maxStreams       = 8192
 )
@@ -49,6 +49,7 @@
 
 	mu       sync.Mutex
 	conns    map[string]*link
+	retired  []*link
 	accepted map[*quic.Conn]bool
 }
 
@@ -122,6 +123,9 @@
 	for _, l := range n.conns {
 		l.close()
 	}
+	for _, l := range n.retired {
+		l.close()
+	}
 	for conn := range n.accepted {
 		_ = conn.CloseWithError(0, "")
 	}
@@ -213,6 +217,15 @@
 func (n *Node) sweep(before time.Time) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
+	kept := n.retired[:0]
+	for _, l := range n.retired {
+		if l.busy.Load() == 0 {
+			l.close()
+		} else {
+			kept = append(kept, l)
+		}
+	}
+	n.retired = kept
 	for addr, l := range n.conns {
 		if l.busy.Load() == 0 && l.used.Load() < before.UnixMilli() {
 			delete(n.conns, addr)
@@ -253,6 +266,18 @@
 	}
 }
 
+// retire makes the next call to addr dial anew, because one on this link had no
+// reply in time: the other side may be back at a new connection long before
+// this one recovers. Calls under way on it go on.
+func (n *Node) retire(addr string, l *link) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.conns[addr] == l {
+		delete(n.conns, addr)
+		n.retired = append(n.retired, l)
+	}
+}
+
 func (n *Node) open(ctx context.Context, l *link, addr string) (*quic.Stream, error) {
 	l.once.Lock()
 	defer l.once.Unlock()
@@ -296,6 +321,9 @@
 	if err == nil {
 		err = readFrame(stream, &r)
 	}
+	if err != nil && ctx.Err() != nil {
+		n.retire(addr, l)
+	}
 	if err != nil {
 		return nil, fault.New(fault.InDoubt, "ask what became of it before sending again", "no reply to %s from %s: %v", e.Kind, addr, err).WithOutcome(fault.Unknown)
 	}
