A new agent says nothing about its worker's tasks before it has asked

Cause: the handover scenario, made stricter (5 s between the old agent and the new), ended a run-once job as unknown: the new agent's first report came before it had asked its worker, showed no task, and was taken for the loss of it. The same gap let it say of a stop that nothing ran. Ruled out: the handover lease (the task ran on at the worker, its span shows). Change: such a report is marked, and the planner waits as for a silent agent; a stop is refused until the worker has been asked.

--- a/core/fleet/fleet.go
+++ b/core/fleet/fleet.go
@@ -48,6 +48,7 @@
 	home   string
 	state  life.EndpointState
 	heard  clock.Millis
+	since  clock.Millis
 	silent clock.Millis
 	beat   clock.Millis
 	health health
@@ -65,6 +66,9 @@
 // Heard is when the agent, or its home, was last heard.
 func (a *Agent) Heard() clock.Millis { return a.heard }
 
+// Since is when the agent's present life was first heard of.
+func (a *Agent) Since() clock.Millis { return a.since }
+
 // SilentSince is when the agent fell silent, or 0.
 func (a *Agent) SilentSince() clock.Millis { return a.silent }
 
@@ -134,6 +138,7 @@
 		return false
 	}
 	if a.report.Incarnation != r.Incarnation {
+		a.since = now
 		a.health = health{}
 	}
 	if r.Load < r.Worker.Slots {
--- a/core/gang/gang.go
+++ b/core/gang/gang.go
@@ -98,6 +98,12 @@
 		s.lost = silent(now, rec, a, ok)
 		return s
 	}
+	if a.Report().Asking {
+		if now-a.Since() > Patience(rec) {
+			s.lost = "its new agent can't find out what the worker runs"
+		}
+		return s
+	}
 	t, shown := find(a.Report(), rec, m.Rank)
 	if !shown {
 		if a.Heard() > rec.StartedAt+reportLag {
--- a/core/gang/gang_test.go
+++ b/core/gang/gang_test.go
@@ -76,3 +76,18 @@
 	_, got = gang.Next(0, rec, one)
 	c.Assert(got, qt.Equals, life.Cancel)
 }
+
+// A new agent that has not asked its worker yet says nothing about the task.
+func TestNewAgentIsGivenTimeToAsk(t *testing.T) {
+	c := qt.New(t)
+	rec := record(spec.Job{Tasks: 2})
+	rec.Members = rec.Members[:1]
+	f := fleet.New("e")
+	now := clock.Hour
+	f.Report(now, proto.ReportMsg{Agent: "a", Incarnation: "l2", Seq: 1, Asking: true}, "e")
+	c.Assert(gang.Assess(now, rec, f).Act, qt.Equals, gang.Nothing)
+	f.Report(now, proto.ReportMsg{Agent: "a", Incarnation: "l2", Seq: 2, Tasks: []proto.Task{{Job: "j", Attempt: 1, State: proto.TaskRunning}}}, "e")
+	c.Assert(gang.Assess(now, rec, f).Act, qt.Equals, gang.Adopt)
+	f.Report(now, proto.ReportMsg{Agent: "a", Incarnation: "l3", Seq: 1}, "e")
+	c.Assert(gang.Assess(now, rec, f).Act, qt.Equals, gang.Halt)
+}
--- a/core/ledg/ledg.go
+++ b/core/ledg/ledg.go
@@ -43,6 +43,7 @@
 	incarnation string
 	worker      spec.Worker
 	known       bool
+	met         bool
 	leaving     bool
 	drained     bool
 	epoch       int64
@@ -98,6 +99,7 @@
 	if l.worker != w || !l.known {
 		l.worker = w
 		l.known = true
+		l.met = true
 		l.seq++
 	}
 }
@@ -199,6 +201,7 @@
 		Worker:      l.worker,
 		Leaving:     !l.Ready(),
 		Load:        l.roughLoad(),
+		Asking:      !l.met,
 	}
 	for _, k := range l.sortedTasks() {
 		r.Tasks = append(r.Tasks, l.tasks[k].report())
--- a/core/ledg/ledg_test.go
+++ b/core/ledg/ledg_test.go
@@ -180,3 +180,16 @@
 		held = append(held, task)
 	}
 }
+
+// A new agent does not say that a task has ended before it has asked its worker.
+func TestNewAgentDoesNotVouchForWhatItHasNotSeen(t *testing.T) {
+	c := qt.New(t)
+	l := ledg.New("agent-1", "life-1")
+	stop := proto.StopMsg{Job: "j", Attempt: 1, Epoch: 1, Incarnation: "life-1"}
+	_, _, err := l.Halt(0, stop)
+	c.Assert(fault.Is(err, fault.Busy), qt.IsTrue)
+	l.Announce(spec.Worker{Worker: "w", Accelerators: 8})
+	_, out, err := l.Halt(0, stop)
+	c.Assert(err, qt.IsNil)
+	c.Assert(out.State, qt.Equals, proto.TaskStopped)
+}
--- a/core/ledg/task.go
+++ b/core/ledg/task.go
@@ -217,6 +217,9 @@
 	}
 	key := TaskKey{Job: m.Job, Attempt: m.Attempt, Rank: m.Rank}
 	t, ok := l.tasks[key]
+	if !ok && !l.met {
+		return false, out, fault.New(fault.Busy, "ask again soon", "agent %s has not asked its worker yet what it runs", l.agent)
+	}
 	l.putFence(now, key.gangFence(), ok && t.state != proto.TaskHeld)
 	if !ok {
 		return false, proto.StoppedMsg{State: proto.TaskStopped}, nil
