--- a/io/entry/admin.go
+++ b/io/entry/admin.go
@@ -15,6 +15,7 @@
 	"gypsumcrank/core/conf"
 	"gypsumcrank/core/event"
 	"gypsumcrank/core/fault"
+	"gypsumcrank/core/kern"
 	"gypsumcrank/core/proto"
 	"gypsumcrank/core/sched"
 	"gypsumcrank/core/spec"
@@ -282,21 +283,15 @@
 		}
 	})
 	var mu sync.Mutex
-	var wg sync.WaitGroup
 	var out []event.Event
-	for _, addr := range addrs {
-		wg.Add(1)
-		go func() {
-			defer wg.Done()
-			got, err := wire.Call[proto.EventListMsg](ctx, e.node, addr, proto.EventsMsg{Query: m.Query})
-			if err == nil {
-				mu.Lock()
-				out = append(out, got.Events...)
-				mu.Unlock()
-			}
-		}()
-	}
-	wg.Wait()
+	kern.Each(addrs, func(_ int, addr string) {
+		got, err := wire.Call[proto.EventListMsg](ctx, e.node, addr, proto.EventsMsg{Query: m.Query})
+		if err == nil {
+			mu.Lock()
+			defer mu.Unlock()
+			out = append(out, got.Events...)
+		}
+	})
 	return out
 }
 
--- a/io/entry/commit.go
+++ b/io/entry/commit.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"sync"
 	"time"
 
 	"gypsumcrank/core/clock"
@@ -11,6 +10,7 @@
 	"gypsumcrank/core/event"
 	"gypsumcrank/core/fault"
 	"gypsumcrank/core/gang"
+	"gypsumcrank/core/kern"
 	"gypsumcrank/core/life"
 	"gypsumcrank/core/proto"
 	"gypsumcrank/core/sched"
@@ -33,15 +33,7 @@
 // each calls f for every member at once and returns the errors by rank.
 func each(members []spec.Member, f func(m spec.Member) error) []error {
 	errs := make([]error, len(members))
-	var wg sync.WaitGroup
-	for i, m := range members {
-		wg.Add(1)
-		go func() {
-			defer wg.Done()
-			errs[i] = f(m)
-		}()
-	}
-	wg.Wait()
+	kern.Each(members, func(i int, m spec.Member) { errs[i] = f(m) })
 	return errs
 }
 
--- a/io/entry/peers.go
+++ b/io/entry/peers.go
@@ -96,17 +96,7 @@
 func (p *peers) each(ctx context.Context, f func(ctx context.Context, addr string)) {
 	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
 	defer cancel()
-	var wg sync.WaitGroup
-	for _, addr := range p.addrs() {
-		wg.Add(1)
-		go p.runOne(ctx, &wg, addr, f)
-	}
-	wg.Wait()
-}
-
-func (p *peers) runOne(ctx context.Context, wg *sync.WaitGroup, addr string, f func(ctx context.Context, addr string)) {
-	defer wg.Done()
-	f(ctx, addr)
+	kern.Each(p.addrs(), func(_ int, addr string) { f(ctx, addr) })
 }
 
 // addrs lists the other entries: those with a record, those heard, and those
--- a/io/wire/node.go
+++ b/io/wire/node.go
@@ -138,7 +138,7 @@
 // Drain waits until the messages being answered are answered, or ctx ends.
 func (n *Node) Drain(ctx context.Context) error {
 	done := make(chan struct{})
-	go func() { n.serving.Wait(); close(done) }()
+	go n.runDrain(done)
 	select {
 	case <-done:
 		return nil
@@ -147,6 +147,11 @@
 	}
 }
 
+func (n *Node) runDrain(done chan struct{}) {
+	n.serving.Wait()
+	close(done)
+}
+
 func (n *Node) runAccept() {
 	for {
 		conn, err := n.listener.Accept(n.ctx)
