--- a/cmd/gypsumcrank/commands_test.go
+++ b/cmd/gypsumcrank/commands_test.go
@@ -30,6 +30,7 @@
 //	reaches NAME N                   an endpoint comes to have run it N times
 //	job ID ENTRY KEY TOKEN JSON      submit a job, at another entry if that one is gone
 //	notice AGENT                     tell an agent that its endpoint is leaving
+//	expire                           every lease at the store lapses now
 //	cancel ID                        cancel one of the first account's jobs
 //	ended ENDPOINT SECONDS           no task runs there any more, in time
 //	state ID STATE SECONDS           the job comes to this state in time
@@ -54,7 +55,7 @@
 		"cut":   func(w *world, a []string) error { return w.cut(a[0], "cut") },
 		"heal":  func(w *world, a []string) error { return w.cut(a[0], "heal") },
 		"fault": cmdFault, "send": cmdSend, "got": cmdGot, "same": cmdSame, "runs": cmdRuns, "reaches": cmdReaches,
-		"job": cmdJob, "cancel": cmdCancel, "notice": cmdNotice, "ended": cmdEnded, "state": cmdState, "stays": cmdStays, "event": cmdEvent, "set": cmdSet, "inforce": cmdInForce,
+		"job": cmdJob, "cancel": cmdCancel, "expire": cmdExpire, "notice": cmdNotice, "ended": cmdEnded, "state": cmdState, "stays": cmdStays, "event": cmdEvent, "set": cmdSet, "inforce": cmdInForce,
 		"answer": cmdAnswer, "health": cmdHealth, "load": cmdLoad, "loaded": cmdLoaded, "agents": cmdAgents, "pause": cmdPause, "quiet": cmdQuiet, "race": cmdRace, "raced": cmdRaced, "flood": cmdFlood, "busy": cmdBusy, "ready": cmdReady, "worker": cmdWorker,
 	}
 	out := make(map[string]func(*testscript.TestScript, bool, []string))
@@ -255,6 +256,11 @@
 	})
 }
 
+func cmdExpire(w *world, _ []string) error {
+	_, _, err := w.call("store", "POST", "/expire", "", "", 0, nil)
+	return err
+}
+
 func cmdNotice(w *world, a []string) error {
 	status, raw, err := w.call(a[0], "POST", "/v1/leave", "", "", 0, nil)
 	if err == nil && status != 200 {
--- a/core/ledg/task.go
+++ b/core/ledg/task.go
@@ -261,6 +261,23 @@
 	}
 }
 
+// shareMB is the memory that a cell stands for.
+func (l *Ledger) shareMB(c spec.Cell) int {
+	return l.worker.MemoryMB * c.Size / max(1, l.worker.Accelerators)
+}
+
+// Greedy lists running tasks that use more memory than their cell stands for:
+// whatever they declared, their neighbours must not pay for it.
+func (l *Ledger) Greedy() []TaskKey {
+	var out []TaskKey
+	for _, k := range l.Running() {
+		if t := l.tasks[k]; t.usedMB > l.shareMB(t.cell) {
+			out = append(out, k)
+		}
+	}
+	return out
+}
+
 // Running lists the tasks that the worker should be running.
 func (l *Ledger) Running() []TaskKey {
 	var out []TaskKey
--- a/internal/standin/epfake/epfake.go
+++ b/internal/standin/epfake/epfake.go
@@ -133,6 +133,7 @@
 	mux.HandleFunc("POST /v1/tasks", e.startTask)
 	mux.HandleFunc("POST /v1/renew", e.renew)
 	mux.HandleFunc("POST /v1/tasks/{id}/stop", e.stopTask)
+	mux.HandleFunc("POST /v1/tasks/{id}/throttle", e.throttleTask)
 	mux.HandleFunc("GET /v1/tasks/{id}/answer", e.taskAnswer)
 	mux.HandleFunc("/fault", e.setFaults)
 	mux.HandleFunc("/counts", e.showCounts)
@@ -360,6 +361,15 @@
 	_ = json.NewEncoder(w).Encode(map[string]string{"state": t.State, "checkpoint": checkpoint})
 }
 
+// throttleTask brings a task's use of memory down to nothing.
+func (e *Endpoint) throttleTask(_ http.ResponseWriter, r *http.Request) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if t, ok := e.tasks[r.PathValue("id")]; ok {
+		t.UsedMB = 0
+	}
+}
+
 func (e *Endpoint) taskAnswer(w http.ResponseWriter, r *http.Request) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
--- a/io/agent/control.go
+++ b/io/agent/control.go
@@ -70,7 +70,7 @@
 	case adoptedMsg:
 		c.adopt(now, m)
 	case observedMsg:
-		c.observe(now, m)
+		return c.observe(now, m)
 	case confMsg:
 		c.configure(m.conf)
 	case resolvedMsg:
@@ -164,7 +164,7 @@
 	c.agent.home.nudge()
 }
 
-func (c *control) observe(now clock.Millis, m observedMsg) {
+func (c *control) observe(now clock.Millis, m observedMsg) []kern.Cmd {
 	l := c.agent.ledger
 	seen := make(map[ledg.TaskKey]endpt.TaskInfo)
 	for _, t := range m.tasks {
@@ -181,6 +181,22 @@
 			c.agent.home.nudge()
 		}
 	}
+	var cmds []kern.Cmd
+	for _, key := range l.Greedy() {
+		cmds = append(cmds, c.throttle(key))
+	}
+	return cmds
+}
+
+// throttle holds a task to its cell's share of the worker.
+func (c *control) throttle(key ledg.TaskKey) kern.Cmd {
+	url := c.worker.URL
+	return func(ctx context.Context) kern.Msg {
+		if err := c.agent.client.Throttle(ctx, url, key.ID()); err == nil {
+			c.agent.line.Add(event.Event{Kind: "task_throttled", Job: key.Job, Attempt: key.ID(), Detail: "it used more memory than its cell stands for"})
+		}
+		return nil
+	}
 }
 
 func (c *control) configure(conf proto.AgentConf) {
--- a/io/endpt/endpt.go
+++ b/io/endpt/endpt.go
@@ -149,6 +149,11 @@
 	return out.State, out.Checkpoint, err
 }
 
+// Throttle holds a task to the share of its worker that its cell stands for.
+func (c *Client) Throttle(ctx context.Context, url, id string) error {
+	return c.post(ctx, url+"/v1/tasks/"+id+"/throttle", struct{}{}, nil)
+}
+
 // Renew extends the leases of running tasks.
 func (c *Client) Renew(ctx context.Context, url string, ids []string, lease clock.Millis) error {
 	in := struct {
