--- a/core/sched/place.go
+++ b/core/sched/place.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"math/bits"
 	"sort"
 
 	"gypsumcrank/core/clock"
@@ -206,7 +207,7 @@
 		cell := spec.Cell{First: first, Size: size}
 		use := Use{Agent: w.Place.Agent, Cell: cell}
 		if busy&mask(cell) == 0 {
-			cost := t.policy.CellCost(Choice{Cell: cell, Block: blockAround(busy, cell, n), Free: free, Index: i})
+			cost := t.policy.CellCost(Choice{Cell: cell, Block: blockAround(busy, cell, n), Free: free, RackFree: t.rackFree(i), Index: i})
 			out = append(out, offer{use: use, index: i, cost: cost})
 			continue
 		}
@@ -220,8 +221,17 @@
 	return out
 }
 
+// rackFree counts the free accelerators of a worker's rack.
+func (t *trial) rackFree(i int) int {
+	free := 0
+	for _, k := range t.v.racks[t.v.rackOf[i]] {
+		free += units(t.v.workers[k]) - bits.OnesCount64(t.busyOf(k))
+	}
+	return free
+}
+
 // evictionBase makes every free cell cheaper than any eviction.
-const evictionBase = 1e6
+const evictionBase = 1e9
 
 // clear finds who would have to leave a cell, and what that costs.
 func (t *trial) clear(i int, cell spec.Cell) (victims []string, cost float64, ok bool) {
--- a/core/sched/sched.go
+++ b/core/sched/sched.go
@@ -113,8 +113,8 @@
 	Cell spec.Cell
 	// Block is the size of the free block around the cell.
 	Block int
-	// Free is the number of free accelerators of the worker.
-	Free int
+	// Free is the number of free accelerators of the worker, RackFree of its rack.
+	Free, RackFree int
 	// Index is the worker's place in the State.
 	Index int
 }
@@ -168,10 +168,14 @@
 
 func abs(m clock.Millis) clock.Millis { return max(m, -m) }
 
-// CellCost takes the tightest free block, of the fullest worker.
+// CellCost takes the tightest free block, in the fullest rack, of the fullest
+// worker, so that whole workers and whole racks stay free for adjacent gangs.
 func (Product) CellCost(c Choice) float64 {
-	return float64(c.Block-c.Cell.Size)*spec.MaxWorkerAccel + float64(c.Free)
+	return float64(c.Block-c.Cell.Size)*blockWeight + float64(c.RackFree)*spec.MaxWorkerAccel + float64(c.Free)
 }
 
+// blockWeight makes a tighter block outweigh any rack.
+const blockWeight = 1000 * spec.MaxWorkerAccel
+
 // Holds keeps cells for a job that has waited long.
 func (Product) Holds(waited clock.Millis) bool { return waited >= holdAfter }
--- a/core/sched/view.go
+++ b/core/sched/view.go
@@ -19,6 +19,7 @@
 	jobs       map[string]Running
 	guarantees map[string][]conf.Block
 	racks      [][]int
+	rackOf     []int
 	centres    [][]int
 	all        []int
 }
@@ -38,6 +39,12 @@
 		v.all = append(v.all, i)
 	}
 	v.racks = v.group(func(w Worker) string { return w.DataCentre + "/" + w.Rack })
+	v.rackOf = make([]int, len(s.Workers))
+	for r, rack := range v.racks {
+		for _, i := range rack {
+			v.rackOf[i] = r
+		}
+	}
 	v.centres = v.group(func(w Worker) string { return w.DataCentre })
 	for _, r := range s.Running {
 		v.add(r)
