Held cells are held: a search with evictions took them as if they were free

The test written for it failed: the second search of a job, the one that may evict, did not know of the held cells and found them free. A shape that may not use held cells was also taken for one that may, in the memory of what does not fit in a round.

--- a/core/sched/plan.go
+++ b/core/sched/plan.go
@@ -69,7 +69,7 @@
 		m.redeem(st)
 		return
 	}
-	if m.failed[shapeOf(st)] {
+	if m.failed[m.shapeOf(st)] {
 		m.wait(st)
 		return
 	}
@@ -85,7 +85,7 @@
 			return
 		}
 	}
-	m.failed[shapeOf(st)] = true
+	m.failed[m.shapeOf(st)] = true
 	m.wait(st)
 }
 
@@ -97,15 +97,15 @@
 	processors, memoryMB int
 	adjacent, evictable  bool
 	class                spec.Class
-	entitled             bool
+	entitled, barred     bool
 	avoids               int
 }
 
-func shapeOf(st Standing) shape {
+func (m *maker) shapeOf(st Standing) shape {
 	j := st.Job
 	return shape{
 		account: st.Account, tasks: j.Tasks, accelerators: j.Accelerators, processors: j.Processors, memoryMB: j.MemoryMB,
-		adjacent: j.Adjacent, evictable: j.Evictable(), class: j.Class, entitled: st.Entitled, avoids: len(st.Avoid),
+		adjacent: j.Adjacent, evictable: j.Evictable(), class: j.Class, entitled: st.Entitled, avoids: len(st.Avoid), barred: m.barred(st.Waiting) != nil,
 	}
 }
 
@@ -113,7 +113,7 @@
 // free cells inside its guarantee, then any free cells, and then evicts.
 func (m *maker) searches(st Standing) []search {
 	free := search{policy: m.policy, held: m.barred(st.Waiting), checks: m.checks}
-	clear := search{policy: m.policy, may: m.evicts(st), checks: m.checks}
+	clear := search{policy: m.policy, may: m.evicts(st), held: free.held, checks: m.checks}
 	if !st.Entitled {
 		return []search{free, clear}
 	}
--- a/core/sched/sched_test.go
+++ b/core/sched/sched_test.go
@@ -293,3 +293,23 @@
 	s.Waiting = []sched.Waiting{{ID: "w", Account: "t01", Job: spec.Job{Tasks: min(32, n/2), Accelerators: 4, Class: spec.Urgent, Checkpoints: true}}}
 	return s
 }
+
+// Cells are held for a gang that has waited long: work that would still be there
+// when the gang can start waits, shorter work uses them until then.
+func TestCellsAreHeldForALongWaitingGang(t *testing.T) {
+	c := qt.New(t)
+	now := clock.Hour
+	s := sched.State{Now: now, Workers: workers(2)}
+	s.Running = []sched.Running{{
+		ID: "runs", Account: "a", StartedAt: now - 900*clock.Second, Cells: []sched.Use{{Agent: "a00", Cell: spec.Cell{Size: 8}}},
+		Job: spec.Job{Tasks: 1, Accelerators: 8, Estimate: 1000 * clock.Second, Checkpoints: true},
+	}}
+	gang := sched.Waiting{ID: "gang", Account: "a", QueuedAt: 0, Job: spec.Job{Tasks: 2, Accelerators: 8, Adjacent: true, Checkpoints: true, Estimate: clock.Hour}}
+	long := sched.Waiting{ID: "long", Account: "b", QueuedAt: now, Job: spec.Job{Tasks: 1, Accelerators: 8, Checkpoints: true, Estimate: clock.Hour}}
+	short := long
+	short.ID, short.Job.Estimate = "short", 50*clock.Second
+	s.Waiting = []sched.Waiting{gang, long, short}
+	plan := sched.Make(sched.Product{}, s)
+	c.Assert(plan.Placements, qt.HasLen, 1)
+	c.Assert(plan.Placements[0].ID, qt.Equals, "short")
+}
