The planner looks at all jobs once a second, and at once when a record or report changes

Cause: worked out for docs/CAPACITY.md: each running job cost the planner 0.008 % of a core (60 jobs, rounds of 250 ms); 300 jobs a region would take the whole 2.4 %. Change: the timer is 1 s, and the mirror wakes the planner for each job record.

--- a/io/entry/control.go
+++ b/io/entry/control.go
@@ -220,6 +220,7 @@
 		c.estimates.Learn(rec.Account, rec.Spec, rec.EndedAt-old.StartedAt)
 	}
 	c.jobs[id] = jobView{rec: rec, rev: change.Rev}
+	c.entry.planner.nudge()
 }
 
 // ready tells whether the balancer may send callers here: there is a
--- a/io/entry/planner.go
+++ b/io/entry/planner.go
@@ -17,7 +17,7 @@
 
 // Paces and bounds of planning.
 const (
-	planEvery  = 250 * time.Millisecond
+	planEvery  = time.Second
 	planGap    = 20 * time.Millisecond
 	leaseTTL   = 4 * clock.Second
 	leaseEvery = 1 * time.Second
