--- a/core/fleet/fleet_test.go
+++ b/core/fleet/fleet_test.go
@@ -95,3 +95,29 @@
 	c.Assert(fleet.BeatFor(3), qt.Equals, fleet.MinBeat)
 	c.Assert(fleet.BeatFor(75) > 8*clock.Second, qt.IsTrue)
 }
+
+// BenchmarkView is the work that an entry's view costs besides messages: a tick
+// ten times a second, and a digest for each peer's heartbeat.
+func BenchmarkView(b *testing.B) {
+	for _, n := range []int{50, 225, 450} {
+		f := fleet.New("entry-1")
+		for i := range n {
+			f.Report(0, report(fmt.Sprint("agent-", i), 1), fmt.Sprint("entry-", i%6))
+		}
+		b.Run(fmt.Sprintf("tick/agents=%d", n), func(b *testing.B) {
+			for b.Loop() {
+				f.Tick(0)
+			}
+		})
+		b.Run(fmt.Sprintf("digest/agents=%d", n), func(b *testing.B) {
+			for b.Loop() {
+				f.Digest("entry-1")
+			}
+		})
+		b.Run(fmt.Sprintf("pick/agents=%d", n), func(b *testing.B) {
+			for b.Loop() {
+				f.Pick(0, "s", nil, true)
+			}
+		})
+	}
+}
--- a/core/sched/sched_test.go
+++ b/core/sched/sched_test.go
@@ -313,3 +313,15 @@
 	c.Assert(plan.Placements, qt.HasLen, 1)
 	c.Assert(plan.Placements[0].ID, qt.Equals, "short")
 }
+
+// BenchmarkUnmet is the proof alone, as status asks for it.
+func BenchmarkUnmet(b *testing.B) {
+	for _, n := range []int{50, 150, 450} {
+		b.Run(fmt.Sprintf("workers=%d", n), func(b *testing.B) {
+			state := busyState(n)
+			for b.Loop() {
+				sched.Unmet(state)
+			}
+		})
+	}
+}
--- a/internal/slopes/main.go
+++ b/internal/slopes/main.go
@@ -99,13 +99,21 @@
 	cmd  *exec.Cmd
 }
 
+// freeAddr finds an address whose port is free for TCP and UDP alike.
 func freeAddr() string {
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return ""
+	for {
+		ln, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			return ""
+		}
+		addr := ln.Addr().String()
+		udp, err := net.ListenPacket("udp", addr)
+		_ = ln.Close()
+		if err == nil {
+			_ = udp.Close()
+			return addr
+		}
 	}
-	defer ln.Close()
-	return ln.Addr().String()
 }
 
 func (s *size) serve(ctx context.Context, addr string, h http.Handler) {
--- a/io/entry/live.go
+++ b/io/entry/live.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strconv"
 	"strings"
 	"sync"
 	"time"
@@ -207,13 +208,15 @@
 	for pause(ctx, collectEvery) {
 		if l.entry.planner.leads() {
 			l.collect(ctx, l.entry.keys().claims())
-			l.collect(ctx, l.entry.keys().answers())
 			l.collect(ctx, l.entry.keys().jobs())
 		}
 	}
 }
 
+// collect drops records under a prefix that are too old to be asked for, and
+// with a job its answers.
 func (l *live) collect(ctx context.Context, prefix string) {
+	keys := l.entry.keys()
 	kvs, err := l.entry.Store.Oldest(ctx, prefix, collectPage)
 	if err != nil {
 		return
@@ -221,14 +224,33 @@
 	now := l.entry.Clock.Now()
 	dropped := 0
 	for _, kv := range kvs {
-		if !expired(kv, prefix, l.entry.keys(), now) {
+		if !expired(kv, prefix, keys, now) {
 			continue
 		}
-		if ok, _, err := l.entry.Store.Swap(ctx, store.Put{Key: kv.Key, IfRev: kv.Rev, Delete: true}); err == nil && ok {
+		if id, ok := strings.CutPrefix(kv.Key, keys.jobs()); ok && !l.dropAll(ctx, keys.answer(id+"/")) {
+			continue
+		}
+		if l.drop(ctx, kv) {
 			dropped++
 		}
 	}
 	if dropped > 0 {
-		l.entry.line.Add(event.Event{Kind: "records_collected", Detail: strings.TrimPrefix(prefix, l.entry.keys().root)})
+		l.entry.line.Add(event.Event{Kind: "records_collected", Detail: strconv.Itoa(dropped) + " of " + strings.TrimPrefix(prefix, keys.root)})
 	}
 }
+
+func (l *live) dropAll(ctx context.Context, prefix string) bool {
+	kvs, _, err := l.entry.Store.List(ctx, prefix)
+	for _, kv := range kvs {
+		if !l.drop(ctx, kv) {
+			return false
+		}
+	}
+	return err == nil
+}
+
+// drop deletes a record that is still as it was read.
+func (l *live) drop(ctx context.Context, kv store.KV) bool {
+	ok, _, err := l.entry.Store.Swap(ctx, store.Put{Key: kv.Key, IfRev: kv.Rev, Delete: true})
+	return ok && err == nil
+}
