A stopping entry still takes callers for a while after it turns unready

Cause: reading the stop as an operator: the port closed in the same moment in which the health check turned, so every balancer would send a second or two of callers to a closed port.

--- a/cmd/gypsumcrank/daemon.go
+++ b/cmd/gypsumcrank/daemon.go
@@ -75,11 +75,12 @@
 
 type entryCmd struct {
 	processFlags
-	Region          string   `default:"main" help:"Region: the part of the platform's key space to use."`
-	Store           string   `required:"" help:"URL of the platform's key-value service."`
-	Peers           []string `help:"Peer addresses of other entries, for a start while the store is out."`
-	OperatorHash    string   `help:"Hash of the operators' token; see 'keys token'."`
-	ClaimsPerSecond int      `default:"50" help:"Most run-once requests that this entry takes in a second."`
+	Region          string        `default:"main" help:"Region: the part of the platform's key space to use."`
+	Store           string        `required:"" help:"URL of the platform's key-value service."`
+	LeaveWait       time.Duration `default:"3s" help:"How long a stopping entry still takes callers, for the balancer to notice that it is unready."`
+	Peers           []string      `help:"Peer addresses of other entries, for a start while the store is out."`
+	OperatorHash    string        `help:"Hash of the operators' token; see 'keys token'."`
+	ClaimsPerSecond int           `default:"50" help:"Most run-once requests that this entry takes in a second."`
 }
 
 // Run serves until SIGTERM.
@@ -90,6 +91,9 @@
 	if err := checkAddrs("peers", c.Peers); err != nil {
 		return err
 	}
+	if c.LeaveWait < 0 || c.LeaveWait >= c.Grace {
+		return fault.New(fault.Invalid, "give less than --grace", "--leave-wait is %s", c.LeaveWait)
+	}
 	if !nameForm.MatchString(c.Region) || c.ClaimsPerSecond < 1 {
 		return fault.New(fault.Invalid, "give a name in lower case, and at least 1", "--region is %q and --claims-per-second %d", c.Region, c.ClaimsPerSecond)
 	}
@@ -98,7 +102,7 @@
 	e := &entry.Entry{
 		Name: c.Name, Region: c.Region, HTTPListen: c.HTTPListen, PeerListen: c.PeerListen, Advertise: c.Advertise,
 		Peers: c.Peers, Store: entry.NewStore(c.Store), OperatorHash: c.OperatorHash, TLS: c.bundle,
-		Grace: clock.FromDuration(c.Grace), ClaimsPerSecond: c.ClaimsPerSecond, Log: log.With("process", c.Name),
+		Grace: clock.FromDuration(c.Grace), LeaveWait: clock.FromDuration(c.LeaveWait), ClaimsPerSecond: c.ClaimsPerSecond, Log: log.With("process", c.Name),
 	}
 	return e.Run(ctx)
 }
--- a/cmd/gypsumcrank/world_test.go
+++ b/cmd/gypsumcrank/world_test.go
@@ -204,7 +204,7 @@
 		return err
 	}
 	args := append([]string{"entry", "--name", name, "--http-listen", httpAddr, "--peer-listen", peer, "--advertise", advertise,
-		"--store", "http://" + w.http["store"], "--operator-hash", conf.HashToken(operatorToken), "--grace", "15s"}, w.tlsArgs("entry")...)
+		"--store", "http://" + w.http["store"], "--operator-hash", conf.HashToken(operatorToken), "--grace", "15s", "--leave-wait", "500ms"}, w.tlsArgs("entry")...)
 	if len(w.entries) > 0 {
 		args = append(args, "--peers", strings.Join(w.advertised(), ","))
 	}
--- a/io/agent/home.go
+++ b/io/agent/home.go
@@ -23,7 +23,7 @@
 	// avoidFor is how long an entry that gave no answer is not tried first.
 	avoidFor = 5 * clock.Second
 	// nudgeGap keeps a busy agent from reporting more often than this.
-	nudgeGap = 100 * time.Millisecond
+	nudgeGap = 100 * clock.Millisecond
 )
 
 // home keeps the agent's one conversation with its home entry.
@@ -88,7 +88,7 @@
 func (h *home) pause(ctx context.Context) {
 	select {
 	case <-ctx.Done():
-	case <-time.After(nudgeGap):
+	case <-time.After(nudgeGap.Duration()):
 	}
 }
 
@@ -116,14 +116,14 @@
 	if err != nil {
 		h.failed(entry, err)
 		*sent = sentState{}
-		return nudgeGapMillis
+		return nudgeGap
 	}
 	h.succeeded(welcome)
 	h.noteTold(report)
 	*sent = sentState{entry: entry, seq: report.Seq, load: load, revision: report.Revision}
 	if welcome.NeedFull {
 		*sent = sentState{}
-		return nudgeGapMillis
+		return nudgeGap
 	}
 	return max(welcome.Beat, fleet.MinBeat/10)
 }
@@ -143,8 +143,6 @@
 	return h.saidBye || h.current == ""
 }
 
-const nudgeGapMillis = 100 * clock.Millisecond
-
 func (h *home) report() proto.ReportMsg {
 	var r proto.ReportMsg
 	h.agent.ask(func(l *ledg.Ledger, _ clock.Millis) {
--- a/io/entry/commit.go
+++ b/io/entry/commit.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"gypsumcrank/core/clock"
-	"gypsumcrank/core/conf"
 	"gypsumcrank/core/event"
 	"gypsumcrank/core/fault"
 	"gypsumcrank/core/gang"
@@ -19,8 +18,6 @@
 	"gypsumcrank/io/wire"
 )
 
-type confBlock = conf.Block
-
 // Times of the gang protocol.
 const (
 	reserveTimeout = 1500 * time.Millisecond
--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -44,6 +44,9 @@
 	TLS func() (certs.Bundle, error)
 	// Grace bounds a planned stop.
 	Grace clock.Millis
+	// LeaveWait is how long a stopping entry goes on taking callers after it
+	// has turned unready, for the balancer to notice.
+	LeaveWait clock.Millis
 	// ClaimsPerSecond bounds the run-once requests that this entry takes.
 	ClaimsPerSecond int
 	Clock           clock.Clock
@@ -152,10 +155,11 @@
 // Start does nothing.
 func (s *drainService) Start(context.Context, *kern.Kernel) error { return nil }
 
-// Stop turns the entry unready.
-func (s *drainService) Stop(context.Context) error {
+// Stop turns the entry unready and gives the balancer time to notice.
+func (s *drainService) Stop(ctx context.Context) error {
 	s.entry.leaving.Store(true)
 	s.entry.line.Add(event.Event{Kind: "entry_leaving"})
+	pause(ctx, s.entry.LeaveWait.Duration())
 	return nil
 }
 
--- a/io/entry/round.go
+++ b/io/entry/round.go
@@ -4,6 +4,7 @@
 	"context"
 
 	"gypsumcrank/core/clock"
+	"gypsumcrank/core/conf"
 	"gypsumcrank/core/event"
 	"gypsumcrank/core/fleet"
 	"gypsumcrank/core/gang"
@@ -150,7 +151,7 @@
 
 // schedState is the state that decisions rest on.
 func (c *control) schedState(now clock.Millis) sched.State {
-	s := sched.State{Now: now, Guarantees: make(map[string][]confBlock)}
+	s := sched.State{Now: now, Guarantees: make(map[string][]conf.Block)}
 	for _, a := range c.fleet.All() {
 		s.Workers = append(s.Workers, schedWorker(a))
 	}
