Urgent requests that may be repeated go to a second endpoint when the answer is unusually long in coming

Cause: a late endpoint or a frozen agent held its callers until the endpoint answered (4.0 s in the scenario written for it, which failed first) or its agent counted as silent (3 s). A swatch is judged while a customer waits. Ruled out: shorter silence (it would count slow agents as lost) and shorter timeouts (work is not lost, only late).

--- a/cmd/gypsumcrank/commands_test.go
+++ b/cmd/gypsumcrank/commands_test.go
@@ -25,6 +25,7 @@
 //	fault P JSON                     what a stand-in does wrong from now on
 //	send ID ENTRY SERVICE KEY DEADLINE_MS BODY   send a request; wait for it with got
 //	got ID OUTCOME...                the answer is one of these outcomes
+//	within ID SECONDS                the answer came that soon
 //	same ID ID                       both got the same body
 //	runs NAME N                      an endpoint ran it N times, by now and for good
 //	reaches NAME N                   an endpoint comes to have run it N times
@@ -55,7 +56,7 @@
 		"cut":   func(w *world, a []string) error { return w.cut(a[0], "cut") },
 		"heal":  func(w *world, a []string) error { return w.cut(a[0], "heal") },
 		"fault": cmdFault, "send": cmdSend, "got": cmdGot, "same": cmdSame, "runs": cmdRuns, "reaches": cmdReaches,
-		"job": cmdJob, "cancel": cmdCancel, "expire": cmdExpire, "notice": cmdNotice, "ended": cmdEnded, "state": cmdState, "stays": cmdStays, "event": cmdEvent, "set": cmdSet, "inforce": cmdInForce,
+		"job": cmdJob, "cancel": cmdCancel, "within": cmdWithin, "expire": cmdExpire, "notice": cmdNotice, "ended": cmdEnded, "state": cmdState, "stays": cmdStays, "event": cmdEvent, "set": cmdSet, "inforce": cmdInForce,
 		"answer": cmdAnswer, "health": cmdHealth, "load": cmdLoad, "loaded": cmdLoaded, "agents": cmdAgents, "pause": cmdPause, "quiet": cmdQuiet, "race": cmdRace, "raced": cmdRaced, "flood": cmdFlood, "busy": cmdBusy, "ready": cmdReady, "worker": cmdWorker,
 	}
 	out := make(map[string]func(*testscript.TestScript, bool, []string))
@@ -198,6 +199,14 @@
 	return fmt.Errorf("got %q (%d %s %v) after %s, want %v", got.outcome, got.status, got.body, got.err, got.took, a[1:])
 }
 
+func cmdWithin(w *world, a []string) error {
+	got, err := w.answer(a[0])
+	if err == nil && got.took > seconds(a[1]) {
+		err = fmt.Errorf("took %s", got.took)
+	}
+	return err
+}
+
 func cmdSame(w *world, a []string) error {
 	x, err := w.answer(a[0])
 	if err != nil {
--- a/core/fleet/pick.go
+++ b/core/fleet/pick.go
@@ -180,6 +180,9 @@
 			return a.quarantine(now)
 		}
 	default:
+		if float64(took) > a.health.latency {
+			a.health.latency += latencyWeight * (float64(took) - a.health.latency)
+		}
 		if a.state == life.Probing {
 			return a.quarantine(now)
 		}
--- a/core/retry/retry.go
+++ b/core/retry/retry.go
@@ -81,3 +81,33 @@
 	r.spent++
 	return true
 }
+
+// Usual follows how long something usually takes, the way TCP follows its round
+// trips: a mean and a mean deviation. The zero value has seen nothing.
+type Usual struct {
+	mean, spread float64
+	seen         bool
+}
+
+const (
+	meanWeight    = 0.125
+	spreadWeight  = 0.25
+	spreadFactor  = 4
+	leastPatience = 100 * clock.Millisecond
+)
+
+// Saw notes one time taken.
+func (u *Usual) Saw(took clock.Millis) {
+	t := float64(took)
+	if !u.seen {
+		u.mean, u.spread, u.seen = t, t/2, true
+		return
+	}
+	u.spread += spreadWeight * (max(t-u.mean, u.mean-t) - u.spread)
+	u.mean += meanWeight * (t - u.mean)
+}
+
+// Patience is after how long it is unusual that there is no answer.
+func (u *Usual) Patience() clock.Millis {
+	return max(leastPatience, clock.Millis(u.mean+spreadFactor*u.spread))
+}
--- a/core/retry/retry_test.go
+++ b/core/retry/retry_test.go
@@ -44,3 +44,16 @@
 	}
 	c.Assert(taken >= 15 && taken <= 21, qt.IsTrue, qt.Commentf("%d", taken))
 }
+
+func TestUsualFollowsWhatItSees(t *testing.T) {
+	c := qt.New(t)
+	u := &retry.Usual{}
+	for range 50 {
+		u.Saw(200)
+	}
+	c.Assert(u.Patience() >= 200 && u.Patience() < 220, qt.IsTrue, qt.Commentf("%s", u.Patience()))
+	for i := range 50 {
+		u.Saw(clock.Millis(100 + 200*(i%2)))
+	}
+	c.Assert(u.Patience() > 400, qt.IsTrue, qt.Commentf("%s", u.Patience()))
+}
--- a/io/entry/claim.go
+++ b/io/entry/claim.go
@@ -190,6 +190,7 @@
 
 // run sends the claim's attempt, once, and settles the claim by its result.
 func (o *once) run(ctx context.Context, rev int64, claim spec.Claim) step {
+	o.sends++
 	answer, err := o.entry.send(ctx, o.request, claim.Place, claim.Attempt, claim.At)
 	e := fault.Of(err)
 	switch {
--- a/io/entry/request.go
+++ b/io/entry/request.go
@@ -263,13 +263,22 @@
 		if c.fleet.Returned(now, place.Agent, q.key, took, v) {
 			e.line.Add(event.Event{Kind: "endpoint_quarantined", Request: q.key, Detail: place.Agent})
 		}
-		if err == nil {
-			c.budget.Success()
+		if v == fleet.Healthy {
+			c.succeeded(q, took)
 		}
 		c.pump(now)
 	})
 }
 
+// succeeded fills the retry budget and notes how long the service took.
+func (c *control) succeeded(q *request, took clock.Millis) {
+	c.budget.Success()
+	if c.usual[q.service] == nil {
+		c.usual[q.service] = &retry.Usual{}
+	}
+	c.usual[q.service].Saw(took)
+}
+
 // verdict says what a result tells about the endpoint. One that was given up
 // before the service's own timeout tells nothing.
 func verdict(err error, givenUp bool) fleet.Verdict {
@@ -300,7 +309,6 @@
 		e.track(place.Agent, f, true)
 		defer e.track(place.Agent, f, false)
 	}
-	q.sends++
 	requestsSent.Add(1)
 	m := proto.RunMsg{
 		Request: q.key, Attempt: attempt, Incarnation: place.Incarnation, Account: q.account, RunOnce: !q.conf.Idempotent,
@@ -327,27 +335,6 @@
 	})
 }
 
-// serve runs a request that may be repeated.
-func (e *Entry) serve(ctx context.Context, q *request) (spec.Answer, error) {
-	skip := make(map[string]bool)
-	for {
-		place, err := e.acquire(ctx, q, skip)
-		if err != nil {
-			return spec.Answer{}, err
-		}
-		answer, err := e.send(ctx, q, place, nonce(), e.Clock.Now())
-		if err == nil {
-			return answer, nil
-		}
-		skip[place.Agent] = true
-		if !e.mayRetry(q, err, skip) {
-			return spec.Answer{}, err
-		}
-		retriesSent.Add(1)
-		e.line.Add(event.Event{Kind: "request_retried", Account: q.account, Request: q.key, Detail: fault.Of(err).Detail})
-	}
-}
-
 // mayRetry decides about another send. Work that did not start goes back to
 // the queue; the rest spends from the budget and needs another endpoint.
 func (e *Entry) mayRetry(q *request, err error, skip map[string]bool) bool {
