--- a/cmd/gypsumcrank/commands_test.go
+++ b/cmd/gypsumcrank/commands_test.go
@@ -10,8 +10,6 @@
 	"time"
 
 	"github.com/rogpeppe/go-internal/testscript"
-
-	"gypsumcrank/internal/standin/epfake"
 )
 
 type command func(w *world, args []string) error
@@ -232,39 +230,6 @@
 	return w.until(15*time.Second, func() error { return cmdRuns(w, a) })
 }
 
-func cmdJob(w *world, a []string) error {
-	entry := a[1]
-	for _, e := range w.entries {
-		if !w.alive(entry) {
-			entry = e
-		}
-	}
-	status, raw, err := w.call(entry, "POST", "/v1/jobs", a[3], a[2], 0, []byte(a[4]))
-	if err != nil {
-		return err
-	}
-	var rec struct{ ID string }
-	if status >= 300 || json.Unmarshal(raw, &rec) != nil {
-		return fmt.Errorf("status %d: %s", status, raw)
-	}
-	w.jobs[a[0]] = rec.ID
-	return nil
-}
-
-func cmdCancel(w *world, a []string) error {
-	return w.until(10*time.Second, func() error {
-		var last error
-		for _, e := range w.entries {
-			status, raw, err := w.call(e, "DELETE", "/v1/jobs/"+w.jobs[a[0]], accountToken, "", 0, nil)
-			if err == nil && status < 300 {
-				return nil
-			}
-			last = fmt.Errorf("status %d: %s %v", status, raw, err)
-		}
-		return last
-	})
-}
-
 func cmdExpire(w *world, _ []string) error {
 	_, _, err := w.call("store", "POST", "/expire", "", "", 0, nil)
 	return err
@@ -278,70 +243,6 @@
 	return err
 }
 
-// cmdEnded wants every task at an endpoint to end in time.
-func cmdEnded(w *world, a []string) error {
-	return w.until(seconds(a[1]), func() error {
-		var spans []epfake.Span
-		if err := w.getJSON(a[0], "/spans", "", &spans); err != nil {
-			return err
-		}
-		for _, s := range spans {
-			if s.End == 0 && s.Job != "" {
-				return fmt.Errorf("%s still runs", s.Job)
-			}
-		}
-		return nil
-	})
-}
-
-// stateOf reads a job's state at any entry that answers.
-func (w *world) stateOf(id string) (state, reason string, err error) {
-	token := otherToken
-	if strings.HasPrefix(w.jobs[id], "acme") {
-		token = accountToken
-	}
-	for _, e := range w.entries {
-		var rec struct{ State, Reason string }
-		if err = w.getJSON(e, "/v1/jobs/"+w.jobs[id], token, &rec); err == nil {
-			return rec.State, rec.Reason, nil
-		}
-	}
-	return "", "", err
-}
-
-func cmdState(w *world, a []string) error {
-	return w.until(seconds(a[2]), func() error {
-		state, reason, err := w.stateOf(a[0])
-		if err == nil && state != a[1] {
-			err = fmt.Errorf("is %s: %s", state, reason)
-		}
-		return err
-	})
-}
-
-func cmdStays(w *world, a []string) error {
-	end := time.Now().Add(seconds(a[2]))
-	for time.Now().Before(end) {
-		if state, reason, err := w.stateOf(a[0]); err == nil && state != a[1] {
-			return fmt.Errorf("is %s: %s", state, reason)
-		}
-		time.Sleep(pollEvery)
-	}
-	return nil
-}
-
-func cmdAnswer(w *world, a []string) error {
-	token := accountToken
-	if strings.HasPrefix(w.jobs[a[1]], "other") {
-		token = otherToken
-	}
-	status, raw, err := w.call(a[0], "GET", "/v1/jobs/"+w.jobs[a[1]]+"/answer", token, "", 0, nil)
-	if err == nil && (status != 200 || string(raw) != a[2]) {
-		err = fmt.Errorf("status %d: %q", status, raw)
-	}
-	return err
-}
-
 func cmdEvent(w *world, a []string) error {
 	text := ""
 	if len(a) > 2 {
@@ -443,13 +344,3 @@
 	}
 	return err
 }
-
-func cmdWorker(w *world, a []string) error {
-	return w.until(15*time.Second, func() error {
-		n, err := w.total(a[1])
-		if err == nil && n == 0 {
-			err = fmt.Errorf("ran nothing")
-		}
-		return err
-	})
-}
