--- a/cmd/gypsumcrank/main.go
+++ b/cmd/gypsumcrank/main.go
@@ -27,6 +27,8 @@
 
 	Entry    entryCmd    `cmd:"" help:"Run the daemon of an entry host."`
 	Agent    agentCmd    `cmd:"" help:"Run the process beside an endpoint."`
+	Front    frontCmd    `cmd:"" help:"Run a front on the users' platform."`
+	Side     sideCmd     `cmd:"" help:"Run beside an endpoint on the users' platform."`
 	Demo     demoCmd     `cmd:"" help:"Show the whole system at work on this machine, with nothing set up."`
 	Get      getCmd      `cmd:"" help:"Read the settings at a path."`
 	Set      setCmd      `cmd:"" help:"Change the setting at a path."`
@@ -46,7 +48,7 @@
 func (l logFlags) logger() *slog.Logger {
 	var level slog.Level
 	_ = level.UnmarshalText([]byte(l.Level))
-	log := slog.New(slog.NewTextHandler(os.Stderr, &slog.HandlerOptions{Level: level}))
+	log := slog.New(slog.NewTextHandler(os.Stdout, &slog.HandlerOptions{Level: level}))
 	slog.SetDefault(log)
 	return log
 }
--- /dev/null
+++ b/cmd/gypsumcrank/platform.go
@@ -0,0 +1,200 @@
+package main
+
+import (
+	"context"
+	"log/slog"
+	"runtime"
+	"runtime/debug"
+	"sync/atomic"
+	"time"
+
+	"gypsumcrank/core/clock"
+	"gypsumcrank/core/kern"
+	"gypsumcrank/core/plan"
+	"gypsumcrank/core/route"
+	"gypsumcrank/io/front"
+	"gypsumcrank/io/httpd"
+	"gypsumcrank/io/mirror"
+	"gypsumcrank/io/side"
+	"gypsumcrank/io/steer"
+	"gypsumcrank/io/store"
+	"gypsumcrank/platform"
+)
+
+const (
+	// leaveWait is how long a stopping front still takes callers: the balancer
+	// asks each second and needs two misses.
+	leaveWait = 2300 * time.Millisecond
+	// freshFor is how old the last answer of the store may be for a front to
+	// be ready; its watch answers each 1.5 s.
+	freshFor = 3 * clock.Second
+	// holdMargin keeps granted leases under the worker's longest.
+	holdMargin = 500 * clock.Millisecond
+	// keepMargin is how much longer than promised an ended job is kept.
+	keepMargin = clock.Minute
+	// memoryShare is the part of the host's memory at which garbage is collected harder.
+	memoryShare = 0.5
+	// registerEvery is the pause between tries to announce a front.
+	registerEvery = 500 * time.Millisecond
+)
+
+// limitRuntime fits the Go runtime to a host with a share of one core.
+func limitRuntime(memoryMB int) {
+	runtime.GOMAXPROCS(1)
+	if memoryMB > 0 {
+		debug.SetMemoryLimit(int64(float64(memoryMB) * memoryShare * (1 << 20)))
+	}
+}
+
+type frontCmd struct{}
+
+// Run serves callers, and plans when elected, until SIGTERM.
+func (c *frontCmd) Run(log *slog.Logger) error {
+	set, err := platform.LoadSettings()
+	if err != nil {
+		return err
+	}
+	limitRuntime(set.MemoryMB)
+	ctx, stop := untilSignal()
+	defer stop()
+	f := newFrontDaemon(set, log.With("process", set.Node))
+	return f.run(ctx)
+}
+
+// frontDaemon is a front with its services.
+type frontDaemon struct {
+	set     platform.Settings
+	log     *slog.Logger
+	keeper  store.Keeper
+	config  *route.Current
+	index   *front.Index
+	jobs    *mirror.Mirror
+	ops     *mirror.Mirror
+	steer   *steer.Steer
+	ingress *platform.Ingress
+	leaving atomic.Bool
+}
+
+func newFrontDaemon(set platform.Settings, log *slog.Logger) *frontDaemon {
+	d := &frontDaemon{set: set, log: log, keeper: platform.NewKV(set.Store), config: &route.Current{}}
+	d.index = &front.Index{Log: log}
+	d.jobs = &mirror.Mirror{Prefix: store.Root, Store: d.keeper, Log: log, See: d.index.See}
+	d.ops = &mirror.Mirror{Prefix: platform.ConfigRoot, Store: d.keeper, Log: log, See: d.seeConfig}
+	limits := plan.DefaultSettings()
+	limits.Hold = set.Hold - holdMargin
+	limits.KeepEnded = set.KeepEnded + keepMargin
+	d.steer = &steer.Steer{
+		Node: set.Node, Addr: set.Link, Store: d.keeper, Mirror: d.jobs, Index: d.index, Config: d.config, Plan: limits, Log: log,
+	}
+	d.ingress = &platform.Ingress{Config: d.config, Front: &front.Front{Store: d.keeper, Index: d.index, Log: log}}
+	return d
+}
+
+func (d *frontDaemon) run(ctx context.Context) error {
+	d.log.Info("process_start", "role", "front", "front", d.set.Front, "link", d.set.Link)
+	k := &kern.Kernel{Log: d.log}
+	k.Add("jobs", d.jobs)
+	k.Add("config", d.ops)
+	callers := &httpd.Server{Addr: d.set.Front, Log: d.log, Fallback: d.serve}
+	k.Add("callers", callers)
+	ready := &httpd.Server{Addr: d.set.Ready, Log: d.log}
+	ready.Handle("GET", platform.ReadyPath, d.ready)
+	k.Add("ready", ready)
+	k.Add("steer", d.steer)
+	serving, end := context.WithCancel(context.Background())
+	defer end()
+	go d.runRegister(serving)
+	go d.runLeave(ctx, end)
+	err := k.Run(serving)
+	d.log.Info("process_stop", "error", err)
+	return err
+}
+
+// runLeave keeps taking callers for a while after the stop was asked for.
+func (d *frontDaemon) runLeave(ctx context.Context, end context.CancelFunc) {
+	<-ctx.Done()
+	d.log.Info("process_leaving")
+	d.leaving.Store(true)
+	time.Sleep(leaveWait)
+	end()
+}
+
+// runRegister tells the others where this front is.
+func (d *frontDaemon) runRegister(ctx context.Context) {
+	key := store.FrontKey(d.set.Node)
+	for ctx.Err() == nil {
+		if d.jobs.Rev() > 0 {
+			old, have := d.jobs.Get(key)
+			if have && string(old.Value) == d.set.Link {
+				return
+			}
+			res, err := d.keeper.Commit(ctx, store.Txn{
+				If:  []store.Condition{{Key: key, Rev: old.Rev}},
+				Put: []store.Item{{Key: key, Value: []byte(d.set.Link)}},
+			})
+			d.log.Debug("front_registered", "held", res.Held, "error", err)
+		}
+		select {
+		case <-ctx.Done():
+		case <-time.After(registerEvery):
+		}
+	}
+}
+
+func (d *frontDaemon) seeConfig(changes []store.Change) {
+	for _, ch := range changes {
+		if ch.Key != platform.ConfigKey || ch.Deleted {
+			continue
+		}
+		c, err := platform.ReadConfig(ch.Value)
+		if err != nil {
+			d.log.Error("config_unreadable", "revision", ch.Rev, "error", err)
+			continue
+		}
+		if d.config.Apply(c) {
+			d.log.Info("config_applied", "version", c.Version, "revision", ch.Rev, "queues", len(c.Queues), "accounts", len(c.Accounts))
+			d.steer.Reconfigure(c)
+		}
+	}
+}
+
+func (d *frontDaemon) serve(ctx context.Context, r *httpd.Request) {
+	if d.leaving.Load() {
+		r.CloseAfter()
+	}
+	d.ingress.Serve(ctx, r)
+}
+
+func (d *frontDaemon) ready(_ context.Context, r *httpd.Request) {
+	now := clock.System().Steady()
+	heard := d.jobs.Heard()
+	if d.leaving.Load() || d.config.Get() == nil || heard == 0 || now-heard > freshFor {
+		r.Text(503, "not ready")
+		return
+	}
+	r.Text(200, "ready")
+}
+
+type sideCmd struct{}
+
+// Run serves the endpoint of this host until SIGTERM.
+func (c *sideCmd) Run(log *slog.Logger) error {
+	set, err := platform.LoadSettings()
+	if err != nil {
+		return err
+	}
+	limitRuntime(set.MemoryMB)
+	log = log.With("process", set.Node)
+	ctx, stop := untilSignal()
+	defer stop()
+	log.Info("process_start", "role", "side", "control", set.Control, "executor", set.Executor)
+	s := &side.Side{Node: set.Node, Fronts: set.Peers, Store: platform.NewKV(set.Store), Worker: platform.NewWorker(set.Executor), Log: log}
+	beats := &httpd.Server{Addr: set.Control, Log: log}
+	platform.Beats(beats, s)
+	k := &kern.Kernel{Log: log}
+	k.Add("side", s)
+	k.Add("beats", beats)
+	err = k.Run(ctx)
+	log.Info("process_stop", "error", err)
+	return err
+}
--- a/core/clock/clock.go
+++ b/core/clock/clock.go
@@ -56,6 +56,18 @@
 	return Millis(time.Now().UnixMilli())
 }
 
+// began anchors the steady clock of the machine.
+var began = time.Now()
+
+// Steady returns a reading that never jumps; only differences of readings of
+// one process mean anything. A manual clock's is the same as Now.
+func (c Clock) Steady() Millis {
+	if c.manual != nil {
+		return Millis(c.manual.Load())
+	}
+	return FromDuration(time.Since(began)) + 1
+}
+
 // Advance moves a manual clock on; the system's clock pays no heed.
 func (c Clock) Advance(by Millis) {
 	if c.manual != nil {
--- /dev/null
+++ b/core/plan/evict.go
@@ -0,0 +1,241 @@
+package plan
+
+import (
+	"sort"
+
+	"gypsumcrank/core/clock"
+	"gypsumcrank/core/task"
+)
+
+// saveEvery is how much work a checkpointing task loses at most when it is
+// stopped: a stop writes a checkpoint, so only the restore is lost.
+const saveEvery = 200 * clock.Millisecond
+
+// urgentLoss makes work of priority 0 the last to be evicted.
+const urgentLoss = 1e9
+
+// loss is the work, in core-milliseconds, that stopping a task throws away;
+// for a gang, that of all members.
+func (p *Planner) loss(u *unit) float64 {
+	units := []*unit{u}
+	if u.gang != nil {
+		units = u.gang.members
+	}
+	sum := 0.0
+	for _, m := range units {
+		if m.phase != running {
+			continue
+		}
+		lost := p.now.Steady - m.since
+		if m.step.Checkpoints {
+			lost = min(lost, saveEvery)
+		}
+		sum += float64(lost) * m.step.Need.Cores()
+	}
+	if u.job.Priority == 0 {
+		sum += urgentLoss
+	}
+	return sum
+}
+
+// evictable tells whether an ask may stop a task.
+func (p *Planner) evictable(b *board, a *ask, u *unit) bool {
+	if b.evicted[u] || u.done || u.phase == stopping || u.phase == unsure || u.job == a.job() {
+		return false
+	}
+	if u.job.Priority > 0 {
+		return true
+	}
+	return a.entitled && !a.job().begun
+}
+
+// makeRoom stops the work that loses least for an ask of priority 0, and keeps
+// the room for it until it is free.
+func (p *Planner) makeRoom(b *board, a *ask) {
+	u := a.first()
+	var best *eviction
+	try := func(workers []*worker, extra float64) {
+		e := p.weigh(b, a, workers)
+		if e == nil {
+			return
+		}
+		e.cost += extra
+		if best == nil || e.cost < best.cost {
+			best = e
+		}
+	}
+	if u.step.SameRack && len(a.units) > 1 {
+		for _, r := range b.racks {
+			try(b.inRack(r), 0)
+		}
+		try(b.workers, p.farWork(a))
+	} else {
+		try(b.workers, 0)
+	}
+	if best == nil {
+		return
+	}
+	for v := range best.victims {
+		b.evicted[v] = true
+		if v.at != nil {
+			b.soon[v.at] = b.soon[v.at].Plus(v.need())
+		}
+	}
+	for i, u := range a.units {
+		w := best.at[i]
+		b.free[w] = b.free[w].Minus(u.need())
+		b.soon[w] = b.soon[w].Minus(u.need())
+	}
+	for _, v := range sortedUnits(best.victims) {
+		p.note(Note{Kind: "task_evicted", Job: v.job.ID, Task: v.name.String(), Worker: v.at.node, Run: v.run, Detail: "for " + a.job().ID})
+		p.stop(v)
+	}
+}
+
+func sortedUnits(set map[*unit]bool) []*unit {
+	out := make([]*unit, 0, len(set))
+	for u := range set {
+		if u.at != nil {
+			out = append(out, u)
+		}
+	}
+	sort.Slice(out, func(i, j int) bool { return out[i].name.String() < out[j].name.String() })
+	return out
+}
+
+// farFactor is how much longer work takes on the wrong rack.
+const farFactor = 3
+
+// farWork is the extra work of running an ask in the wrong place.
+func (p *Planner) farWork(a *ask) float64 {
+	s := a.first().step
+	return float64(len(a.units)) * float64(farFactor-1) * float64(s.Estimate) * s.Need.Cores()
+}
+
+// eviction is one way to make room for an ask.
+type eviction struct {
+	at      []*worker
+	victims map[*unit]bool
+	cost    float64
+}
+
+// weigh finds, task by task, the worker where making room loses least.
+func (p *Planner) weigh(b *board, a *ask, workers []*worker) *eviction {
+	e := &eviction{at: make([]*worker, len(a.units)), victims: make(map[*unit]bool)}
+	gained := make(map[*worker]task.Room)
+	count := make(map[*worker]int)
+	for i, u := range a.units {
+		var best *worker
+		var bestVictims []*unit
+		bestCost := 0.0
+		for _, w := range workers {
+			if !allowed(w, u) || !underLimit(w, u, count[w]) {
+				continue
+			}
+			room := b.soon[w].Plus(gained[w])
+			victims, cost, ok := p.victims(b, a, e, w, u.need(), room)
+			if !ok {
+				continue
+			}
+			if u.step.DataRack != "" && w.rack != u.step.DataRack {
+				cost += p.farWork(a) / float64(len(a.units))
+			}
+			cost += room.Minus(u.need()).Cores() // among equals, the fullest
+			if best == nil || cost < bestCost {
+				best, bestVictims, bestCost = w, victims, cost
+			}
+		}
+		if best == nil {
+			return nil
+		}
+		e.at[i] = best
+		e.cost += bestCost
+		count[best]++
+		for _, v := range bestVictims {
+			for _, m := range wholeGang(v) {
+				if m.at != nil && !e.victims[m] {
+					e.victims[m] = true
+					gained[m.at] = gained[m.at].Plus(m.need())
+				}
+			}
+		}
+		gained[best] = gained[best].Minus(u.need())
+	}
+	return e
+}
+
+func wholeGang(u *unit) []*unit {
+	if u.gang != nil {
+		return u.gang.members
+	}
+	return []*unit{u}
+}
+
+// victims picks tasks on one worker whose end would make room for a need,
+// those that lose least first.
+func (p *Planner) victims(b *board, a *ask, e *eviction, w *worker, need, room task.Room) (out []*unit, cost float64, ok bool) {
+	if need.Fits(room) {
+		return nil, 0, true
+	}
+	var can []*unit
+	for v := range w.units {
+		if !e.victims[v] && p.evictable(b, a, v) {
+			can = append(can, v)
+		}
+	}
+	losses := make(map[*unit]float64, len(can))
+	for _, v := range can {
+		losses[v] = p.loss(v)
+	}
+	sort.Slice(can, func(i, j int) bool {
+		if losses[can[i]] != losses[can[j]] {
+			return losses[can[i]] < losses[can[j]]
+		}
+		return can[i].name.String() < can[j].name.String()
+	})
+	gangs := make(map[*gang]bool)
+	for _, v := range can {
+		lack := lacking(need, room)
+		if lack == (task.Room{}) {
+			break
+		}
+		if !helps(v.need(), lack) {
+			continue
+		}
+		room = room.Plus(v.need())
+		out = append(out, v)
+		if v.gang == nil || !gangs[v.gang] {
+			cost += losses[v]
+		}
+		if v.gang != nil {
+			gangs[v.gang] = true
+		}
+	}
+	return out, cost, need.Fits(room)
+}
+
+// helps tells whether a room has some of what is lacking.
+func helps(r, lack task.Room) bool {
+	return r.MilliCPU > 0 && lack.MilliCPU > 0 || r.MemoryMB > 0 && lack.MemoryMB > 0 || r.Accelerators > 0 && lack.Accelerators > 0
+}
+
+// evacuate stops the tasks of a leaving worker that would not end in time and
+// whose work a stop saves.
+func (p *Planner) evacuate(w *worker) {
+	for _, u := range w.sorted() {
+		if u.phase == running && u.step.Checkpoints && p.now.Steady+p.remaining(u) > w.leaves {
+			p.note(Note{Kind: "task_moved", Job: u.job.ID, Task: u.name.String(), Worker: w.node, Run: u.run, Detail: "its worker leaves"})
+			p.stop(u)
+			p.breakGang(u)
+		}
+	}
+}
+
+// remaining estimates how long a running task still takes.
+func (p *Planner) remaining(u *unit) clock.Millis {
+	ran := p.now.Steady - u.since
+	if u.percent > 0 && ran > 0 {
+		return ran * clock.Millis(100-u.percent) / clock.Millis(u.percent)
+	}
+	return max(0, u.step.Estimate-ran)
+}
--- /dev/null
+++ b/core/plan/place.go
@@ -0,0 +1,281 @@
+package plan
+
+import (
+	"sort"
+
+	"gypsumcrank/core/clock"
+	"gypsumcrank/core/task"
+)
+
+// board is the room of all usable workers during one round of placement.
+type board struct {
+	workers []*worker
+	free    map[*worker]task.Room // can be given away now
+	soon    map[*worker]task.Room // free, and what is being stopped
+	racks   []string
+	evicted map[*unit]bool
+}
+
+func (p *Planner) newBoard() *board {
+	b := &board{free: make(map[*worker]task.Room), soon: make(map[*worker]task.Room), evicted: make(map[*unit]bool)}
+	racks := make(map[string]bool)
+	for _, w := range p.workers {
+		if !p.usable(w) {
+			continue
+		}
+		b.workers = append(b.workers, w)
+		b.free[w] = w.free()
+		soon := w.free()
+		for u := range w.units {
+			if u.phase == stopping {
+				soon = soon.Plus(u.need())
+			}
+		}
+		b.soon[w] = soon
+		if !racks[w.rack] {
+			racks[w.rack] = true
+			b.racks = append(b.racks, w.rack)
+		}
+	}
+	sort.Slice(b.workers, func(i, j int) bool { return b.workers[i].node < b.workers[j].node })
+	sort.Strings(b.racks)
+	return b
+}
+
+// usable tells whether a worker may get new work.
+func (p *Planner) usable(w *worker) bool {
+	if w.dead || w.draining || !w.fenced || !w.linked || p.now.Steady < w.restUntil || w.health.resting(p.now.Steady) {
+		return false
+	}
+	// A worker that was not heard lately would start tasks on a short lease.
+	return p.now.Steady-w.heard < p.Settings.Hold/2
+}
+
+// allowed tells whether policy lets a task run on a worker at all.
+func allowed(w *worker, u *unit) bool {
+	if w.service != u.job.Service {
+		return false
+	}
+	l := u.step.Label
+	return l == "" || l == w.kind || l == w.rack
+}
+
+// choice is one way to place an ask.
+type choice struct {
+	at   []*worker
+	cost float64
+}
+
+// patience is how many times its estimate a task waits for the rack of its
+// data, or a gang for a single rack, before it runs elsewhere.
+const patience = 1
+
+// place finds room for all tasks of an ask, and records their start.
+func (p *Planner) place(b *board, a *ask) bool {
+	best, ok := p.choose(b, a)
+	if !ok {
+		return false
+	}
+	run := 0
+	for _, u := range a.units {
+		run = max(run, u.run)
+	}
+	for i, u := range a.units {
+		w := best.at[i]
+		b.free[w] = b.free[w].Minus(u.need())
+		b.soon[w] = b.soon[w].Minus(u.need())
+		p.intend(u, w, run+1)
+	}
+	return true
+}
+
+// choose weighs the single racks, and all workers together.
+func (p *Planner) choose(b *board, a *ask) (choice, bool) {
+	u := a.first()
+	var best choice
+	found := false
+	try := func(workers []*worker, far bool) {
+		c, ok := p.fit(b, a, workers)
+		if !ok {
+			return
+		}
+		if far {
+			c.cost += farCost
+		}
+		if !found || c.cost < best.cost {
+			best, found = c, true
+		}
+	}
+	if !u.step.SameRack || len(a.units) == 1 {
+		try(b.workers, false)
+	} else {
+		for _, r := range b.racks {
+			try(b.inRack(r), false)
+		}
+		if !found && p.mayGoFar(b, a) {
+			try(b.workers, true)
+		}
+	}
+	if found && u.step.DataRack != "" && best.cost >= farCost && !p.mayGoFar(b, a) {
+		return choice{}, false
+	}
+	return best, found
+}
+
+// mayGoFar tells whether an ask has waited long enough for the right rack.
+func (p *Planner) mayGoFar(b *board, a *ask) bool {
+	u := a.first()
+	if u.step.SameRack && len(a.units) > 1 && !b.rackCouldHold(a) {
+		return true
+	}
+	return p.now.Steady-a.since >= patience*u.step.Estimate
+}
+
+func (b *board) inRack(rack string) []*worker {
+	var out []*worker
+	for _, w := range b.workers {
+		if w.rack == rack {
+			out = append(out, w)
+		}
+	}
+	return out
+}
+
+// rackCouldHold tells whether some rack, if it were empty, had room for all.
+func (b *board) rackCouldHold(a *ask) bool {
+	u := a.first()
+	for _, r := range b.racks {
+		n := 0
+		for _, w := range b.inRack(r) {
+			if allowed(w, u) {
+				n += copies(w.capacity, u)
+			}
+		}
+		if n >= len(a.units) {
+			return true
+		}
+	}
+	return false
+}
+
+// copies is how many tasks like u a room holds.
+func copies(have task.Room, u *unit) int {
+	need, n := u.need(), 0
+	for need.Fits(have) && n < u.step.Count {
+		have = have.Minus(need)
+		n++
+	}
+	if m := u.step.MaxPerWorker; m > 0 {
+		n = min(n, m)
+	}
+	return n
+}
+
+// Costs of a place, in cores that are left unusable or their like.
+const (
+	farCost     = 10000
+	avoidCost   = 500
+	suspectCost = 200
+)
+
+// fit places the tasks one by one, each where it leaves the least room broken.
+func (p *Planner) fit(b *board, a *ask, workers []*worker) (choice, bool) {
+	c := choice{at: make([]*worker, len(a.units))}
+	taken := make(map[*worker]task.Room)
+	count := make(map[*worker]int)
+	for i, u := range a.units {
+		var best *worker
+		bestCost := 0.0
+		for _, w := range workers {
+			room := b.free[w].Minus(taken[w])
+			if !allowed(w, u) || !u.need().Fits(room) || !underLimit(w, u, count[w]) {
+				continue
+			}
+			if cost := placeCost(w, u, room); best == nil || cost < bestCost {
+				best, bestCost = w, cost
+			}
+		}
+		if best == nil {
+			return choice{}, false
+		}
+		c.at[i] = best
+		c.cost += bestCost
+		taken[best] = taken[best].Plus(u.need())
+		count[best]++
+	}
+	return c, true
+}
+
+// underLimit keeps to the most tasks of a step that one worker may run.
+func underLimit(w *worker, u *unit, more int) bool {
+	if u.step.MaxPerWorker == 0 {
+		return true
+	}
+	n := more
+	for o := range w.units {
+		if o.job == u.job && o.name.Step == u.name.Step && o.name.Occurrence == u.name.Occurrence {
+			n++
+		}
+	}
+	return n < u.step.MaxPerWorker
+}
+
+// placeCost prefers the fullest worker, so that empty ones stay whole for
+// tasks that need all of one.
+func placeCost(w *worker, u *unit, room task.Room) float64 {
+	left := room.Minus(u.need())
+	cost := left.Cores()
+	if u.step.DataRack != "" && w.rack != u.step.DataRack {
+		cost += farCost
+	}
+	if u.avoid == w.life {
+		cost += avoidCost
+	}
+	if w.health.suspect() {
+		cost += suspectCost
+	}
+	return cost
+}
+
+// keepAfter is how long work that may not evict waits before workers are kept
+// free for it.
+const keepAfter = 3 * clock.Second
+
+// keepRoom keeps the workers that will soonest have room for an ask from the
+// asks behind it, so that small work does not starve large work.
+func (p *Planner) keepRoom(b *board, a *ask) {
+	if a.late || p.now.Steady-a.since < keepAfter {
+		return
+	}
+	for _, u := range a.units {
+		if w := b.soonest(u); w != nil {
+			b.free[w] = b.free[w].Minus(u.need())
+			b.soon[w] = b.soon[w].Minus(u.need())
+		}
+	}
+}
+
+// soonest is the worker that lacks least for a task.
+func (b *board) soonest(u *unit) *worker {
+	var best *worker
+	bestLack := 0.0
+	for _, w := range b.workers {
+		if !allowed(w, u) || !u.need().Fits(w.capacity) {
+			continue
+		}
+		lack := lacking(u.need(), b.soon[w]).Cores()
+		if u.step.DataRack != "" && w.rack != u.step.DataRack {
+			lack += farCost
+		}
+		if best == nil || lack < bestLack {
+			best, bestLack = w, lack
+		}
+	}
+	return best
+}
+
+// lacking is what is missing of a need.
+func lacking(need, have task.Room) task.Room {
+	d := need.Minus(have)
+	return task.Room{MilliCPU: max(0, d.MilliCPU), MemoryMB: max(0, d.MemoryMB), Accelerators: max(0, d.Accelerators)}
+}
--- /dev/null
+++ b/core/plan/plan.go
@@ -0,0 +1,120 @@
+// Package plan is the planner: a state machine that decides which task runs
+// where. It has no input or output of its own. Messages go in, Effects come
+// out, and time is what the caller says it is.
+//
+// A start is recorded before it is ordered, an end is recorded before it is
+// acknowledged to the worker, and a task whose run may still be somewhere
+// starts nowhere else. So a new planner that reads the records and asks the
+// workers knows all that the last one could have done.
+package plan
+
+import (
+	"gypsumcrank/core/clock"
+	"gypsumcrank/core/route"
+	"gypsumcrank/core/task"
+)
+
+// Instant is one moment on the two clocks that matter.
+type Instant struct {
+	Steady clock.Millis // never jumps; measures spans
+	Wall   clock.Millis // time of day; may jump; only for due times
+}
+
+// Settings are the planner's limits, in milliseconds.
+type Settings struct {
+	Hold       clock.Millis // longest lease that a worker accepts
+	StaleGrant clock.Millis // how long a deposed planner may go on extending leases
+	KeepEnded  clock.Millis // how long ended jobs are kept
+	StartWait  clock.Millis // how long a gang's members may take to start
+}
+
+// DefaultSettings suit a worker that takes leases of 6 s.
+func DefaultSettings() Settings {
+	return Settings{Hold: 5500, StaleGrant: 8 * clock.Second, KeepEnded: 180 * clock.Second, StartWait: 1500}
+}
+
+// Planner decides. Set the exported fields before the first Update, and call
+// Update from one goroutine only.
+type Planner struct {
+	Epoch    int64
+	Settings Settings
+
+	now     Instant
+	started clock.Millis
+	config  *route.Config
+	jobs    map[string]*job
+	workers map[task.Life]*worker
+	byNode  map[string]*worker
+	writing *flight
+	seq     int
+	dirty   []*job
+	changed bool // something may be placed that could not before
+	out     Effects
+	paused  bool
+}
+
+// Update applies one message and returns what is to be done.
+func (p *Planner) Update(now Instant, msg any) Effects {
+	p.init(now)
+	p.now = now
+	p.out = Effects{}
+	switch m := msg.(type) {
+	case ConfigMsg:
+		p.config = m.Config
+		p.changed = true
+	case JobMsg:
+		p.addJob(m)
+	case CancelMsg:
+		p.cancel(m.ID)
+	case LinkMsg:
+		p.link(m)
+	case ReportMsg:
+		p.report(m)
+	case ResultMsg:
+		p.result(m)
+	case WrittenMsg:
+		p.written(m)
+	case TickMsg:
+		p.tick()
+	}
+	if p.changed && !p.paused && p.config != nil {
+		p.changed = false
+		p.schedule()
+	}
+	p.flush()
+	return p.out
+}
+
+// Pause keeps the planner from starting anything while its lease is in doubt.
+func (p *Planner) Pause(on bool) {
+	if p.paused && !on {
+		p.changed = true
+	}
+	p.paused = on
+}
+
+func (p *Planner) init(now Instant) {
+	if p.jobs != nil {
+		return
+	}
+	p.started = now.Steady
+	p.jobs = make(map[string]*job)
+	p.workers = make(map[task.Life]*worker)
+	p.byNode = make(map[string]*worker)
+}
+
+func (p *Planner) note(n Note) { p.out.Notes = append(p.out.Notes, n) }
+
+// tick looks after everything that depends on time alone.
+func (p *Planner) tick() {
+	for _, w := range p.workers {
+		p.checkLease(w)
+		p.resend(w)
+	}
+	for _, j := range p.jobs {
+		p.checkDue(j)
+		p.collect(j)
+	}
+	p.checkGangs()
+	p.changed = true
+}
--- /dev/null
+++ b/core/plan/sched.go
@@ -0,0 +1,167 @@
+package plan
+
+import (
+	"sort"
+
+	"gypsumcrank/core/clock"
+)
+
+// ask is something that is placed as a whole: one task, or a whole gang.
+type ask struct {
+	units    []*unit
+	since    clock.Millis // steady time since which it could have been placed
+	deadline clock.Millis // steady time at which its job stops earning fully
+	late     bool         // its job can't earn any more
+	entitled bool         // inside its account's guarantee
+}
+
+func (a *ask) job() *job     { return a.units[0].job }
+func (a *ask) first() *unit  { return a.units[0] }
+func (a *ask) priority() int { return a.job().Priority }
+
+// lateAfter is how many times its objective a job may take and still earn.
+const lateAfter = 3
+
+// schedule places what can be placed, most urgent first, and makes room for
+// jobs of priority 0.
+func (p *Planner) schedule() {
+	asks := p.asks()
+	if len(asks) == 0 {
+		return
+	}
+	b := p.newBoard()
+	p.entitle(asks)
+	sort.SliceStable(asks, func(i, j int) bool { return asks[i].before(asks[j]) })
+	type stepKey struct {
+		job  string
+		step int
+		occ  int
+	}
+	stuck := make(map[stepKey]bool)
+	for _, a := range asks {
+		u := a.first()
+		key := stepKey{a.job().ID, u.name.Step, u.name.Occurrence}
+		if stuck[key] {
+			continue
+		}
+		if p.place(b, a) {
+			continue
+		}
+		stuck[key] = true
+		if a.priority() == 0 {
+			p.makeRoom(b, a)
+		} else {
+			p.keepRoom(b, a)
+		}
+	}
+}
+
+// asks lists everything that waits and may start.
+func (p *Planner) asks() []*ask {
+	var out []*ask
+	for _, j := range p.jobs {
+		if j.state.Ended() {
+			continue
+		}
+		for _, g := range j.gangs {
+			if a := p.gangAsk(g); a != nil {
+				out = append(out, a)
+			}
+		}
+		for _, u := range j.units {
+			if u.gang == nil && u.phase == idle && !u.done && j.open(u) {
+				out = append(out, p.newAsk([]*unit{u}))
+			}
+		}
+	}
+	return out
+}
+
+func (p *Planner) gangAsk(g *gang) *ask {
+	for _, m := range g.members {
+		if m.phase != idle || m.done {
+			return nil
+		}
+	}
+	if !g.job.open(g.members[0]) {
+		return nil
+	}
+	return p.newAsk(g.members)
+}
+
+func (p *Planner) newAsk(units []*unit) *ask {
+	u := units[0]
+	j := u.job
+	a := &ask{units: units}
+	for _, m := range units {
+		a.since = max(a.since, m.ready)
+	}
+	start := j.added
+	if j.Timed() {
+		start = p.now.Steady - (p.now.Wall - j.Due(u.name.Occurrence))
+	}
+	objective := clock.Millis(j.Stretch*float64(j.chain())) + j.Target
+	a.deadline = start + objective
+	a.late = p.now.Steady > start+lateAfter*objective
+	return a
+}
+
+// chain is the estimated length of the job's longest path of steps.
+func (j *job) chain() clock.Millis {
+	ends := make([]clock.Millis, len(j.Steps))
+	var longest clock.Millis
+	for i := range j.Steps {
+		for _, b := range j.Steps[i].After {
+			ends[i] = max(ends[i], ends[b])
+		}
+		ends[i] += j.Steps[i].Estimate
+		longest = max(longest, ends[i])
+	}
+	return longest
+}
+
+// entitle marks the asks of priority 0 that lie inside their account's
+// guarantee, the oldest first.
+func (p *Planner) entitle(asks []*ask) {
+	used := make(map[string]int)
+	for _, w := range p.workers {
+		for u := range w.units {
+			if u.job.Priority == 0 {
+				used[u.job.Account] += u.step.Need.Accelerators
+			}
+		}
+	}
+	urgent := make([]*ask, 0, len(asks))
+	for _, a := range asks {
+		if a.priority() == 0 {
+			urgent = append(urgent, a)
+		}
+	}
+	sort.SliceStable(urgent, func(i, j int) bool { return urgent[i].since < urgent[j].since })
+	for _, a := range urgent {
+		account := a.job().Account
+		need := len(a.units) * a.first().step.Need.Accelerators
+		if used[account]+need <= p.config.Accounts[account].Accelerators {
+			a.entitled = true
+			used[account] += need
+		}
+	}
+}
+
+// before orders asks: by priority, guaranteed ones first, jobs that still earn
+// first, then by deadline.
+func (a *ask) before(b *ask) bool {
+	if a.priority() != b.priority() {
+		return a.priority() < b.priority()
+	}
+	if a.entitled != b.entitled {
+		return a.entitled
+	}
+	if a.late != b.late {
+		return !a.late
+	}
+	if a.deadline != b.deadline {
+		return a.deadline < b.deadline
+	}
+	return a.first().name.String() < b.first().name.String()
+}
--- /dev/null
+++ b/core/task/progress.go
@@ -0,0 +1,70 @@
+package task
+
+import (
+	"encoding/json"
+
+	"gypsumcrank/core/clock"
+)
+
+// State is a job's place in its life.
+type State string
+
+// The states of a job.
+const (
+	Queued    State = "queued"
+	Running   State = "running"
+	Completed State = "completed"
+	Failed    State = "failed"
+	Cancelled State = "cancelled"
+)
+
+// Ended tells whether the state is final.
+func (s State) Ended() bool { return s == Completed || s == Failed || s == Cancelled }
+
+// Life names one life of an endpoint: its id and when it was born.
+type Life struct {
+	ID   string       `json:"id,omitempty"`
+	Born clock.Millis `json:"born_ms,omitempty"`
+}
+
+// Mark is the recorded progress of one task that was started at least once.
+type Mark struct {
+	Occurrence int    `json:"k,omitempty"`
+	Step       int    `json:"s,omitempty"`
+	Index      int    `json:"i,omitempty"`
+	Run        int    `json:"run"`
+	At         Life   `json:"at,omitzero"`    // where the run may still be; empty if nowhere
+	Node       string `json:"node,omitempty"` // the host of At
+	Failures   int    `json:"fails,omitempty"`
+	Checkpoint string `json:"ckpt,omitempty"`
+	Done       bool   `json:"done,omitempty"`
+}
+
+// Progress is how far a job has come, as the store keeps it. Only the planner
+// writes it.
+type Progress struct {
+	State  State        `json:"state"`
+	Begun  bool         `json:"begun,omitempty"`
+	Ended  clock.Millis `json:"ended_ms,omitempty"`
+	Reason string       `json:"reason,omitempty"`
+	Marks  []Mark       `json:"marks,omitempty"`
+}
+
+// Encode writes a job or a progress for the store.
+func Encode(v any) ([]byte, error) { return json.Marshal(v) }
+
+// DecodeJob reads a stored job.
+func DecodeJob(raw []byte) (*Job, error) {
+	j := &Job{}
+	if err := json.Unmarshal(raw, j); err != nil {
+		return nil, err
+	}
+	return j, j.Check()
+}
+
+// DecodeProgress reads a stored progress.
+func DecodeProgress(raw []byte) (*Progress, error) {
+	p := &Progress{}
+	err := json.Unmarshal(raw, p)
+	return p, err
+}
--- /dev/null
+++ b/core/task/task.go
@@ -0,0 +1,160 @@
+// Package task holds jobs as graphs of steps: what a caller submits, what a
+// task needs of a worker, and how far a job has come.
+//
+// A job has steps, a step has tasks, and a task is the unit that runs on one
+// worker. A job that repeats runs its steps once for each occurrence.
+package task
+
+import (
+	"fmt"
+	"strconv"
+	"strings"
+
+	"gypsumcrank/core/clock"
+	"gypsumcrank/core/fault"
+)
+
+// Room is what a task takes of a worker, or what a worker has.
+type Room struct {
+	MilliCPU     int `json:"milli_cpu,omitempty"`
+	MemoryMB     int `json:"memory_mb,omitempty"`
+	Accelerators int `json:"accelerators,omitempty"`
+}
+
+// Fits tells whether r can be taken out of have.
+func (r Room) Fits(have Room) bool {
+	return r.MilliCPU <= have.MilliCPU && r.MemoryMB <= have.MemoryMB && r.Accelerators <= have.Accelerators
+}
+
+// Plus adds two rooms.
+func (r Room) Plus(o Room) Room {
+	return Room{r.MilliCPU + o.MilliCPU, r.MemoryMB + o.MemoryMB, r.Accelerators + o.Accelerators}
+}
+
+// Minus takes o out of r; the result may be negative.
+func (r Room) Minus(o Room) Room {
+	return Room{r.MilliCPU - o.MilliCPU, r.MemoryMB - o.MemoryMB, r.Accelerators - o.Accelerators}
+}
+
+// acceleratorCores is how many cores one accelerator counts as.
+const acceleratorCores = 8
+
+// Cores weighs a room as a number of cores.
+func (r Room) Cores() float64 {
+	return float64(r.MilliCPU)/1000 + acceleratorCores*float64(r.Accelerators)
+}
+
+// Step is a number of equal tasks.
+type Step struct {
+	Count        int          `json:"count"`
+	Need         Room         `json:"need"`
+	Estimate     clock.Millis `json:"estimate_ms,omitempty"`
+	After        []int        `json:"after,omitempty"`
+	Checkpoints  bool         `json:"checkpoints,omitempty"`
+	Gang         bool         `json:"gang,omitempty"`
+	SameRack     bool         `json:"same_rack,omitempty"`
+	Label        string       `json:"label,omitempty"`
+	DataRack     string       `json:"data_rack,omitempty"`
+	MaxPerWorker int          `json:"max_per_worker,omitempty"`
+	Service      bool         `json:"service,omitempty"` // runs until cancelled
+	Backfill     bool         `json:"backfill,omitempty"`
+	Image        string       `json:"image,omitempty"`
+	TailTarget   clock.Millis `json:"tail_target_ms,omitempty"`
+	MaxAway      int          `json:"max_away,omitempty"`
+}
+
+// Job is what a caller submits, with the settings of its queue at that time.
+type Job struct {
+	ID       string       `json:"id"`
+	Queue    string       `json:"queue"`
+	Account  string       `json:"account,omitempty"`
+	Payload  string       `json:"payload"`
+	Steps    []Step       `json:"steps"`
+	Repeat   int          `json:"repeat,omitempty"`
+	First    clock.Millis `json:"first_ms,omitempty"`
+	Interval clock.Millis `json:"interval_ms,omitempty"`
+	Accepted clock.Millis `json:"accepted_ms"`
+	Service  string       `json:"service"`
+	Priority int          `json:"priority"`
+	Attempts int          `json:"attempts"`
+	Stretch  float64      `json:"stretch,omitempty"`
+	Target   clock.Millis `json:"target_ms,omitempty"`
+}
+
+// Limits of one job.
+const (
+	MaxSteps       = 256
+	MaxTasks       = 10000
+	MaxOccurrences = 10000
+)
+
+// Check refuses a job that no cluster could make sense of.
+func (j *Job) Check() error {
+	bad := func(format string, args ...any) error {
+		return fault.New(fault.Invalid, "correct the job and submit it again", format, args...).WithOutcome(fault.NotRun)
+	}
+	if len(j.Steps) == 0 || len(j.Steps) > MaxSteps {
+		return bad("a job has 1 to %d steps, not %d", MaxSteps, len(j.Steps))
+	}
+	total := 0
+	for i, s := range j.Steps {
+		if s.Count < 1 || s.Need.MilliCPU < 0 || s.Need.MemoryMB < 0 || s.Need.Accelerators < 0 {
+			return bad("step %d has a count or a size out of range", i)
+		}
+		for _, a := range s.After {
+			if a < 0 || a >= i {
+				return bad("step %d comes after step %d, which is not an earlier one", i, a)
+			}
+		}
+		total += s.Count
+	}
+	if total > MaxTasks || j.Repeat < 0 || j.Repeat > MaxOccurrences || (j.Repeat > 1 && j.Interval <= 0) {
+		return bad("the job has %d tasks and %d occurrences each %s", total, j.Repeat, j.Interval)
+	}
+	return nil
+}
+
+// Occurrences is how often the steps run.
+func (j *Job) Occurrences() int { return max(1, j.Repeat) }
+
+// Timed tells whether the job waits for times of day.
+func (j *Job) Timed() bool { return j.Repeat > 0 }
+
+// Due is the time of day at which an occurrence may start; 0 means at once.
+func (j *Job) Due(occurrence int) clock.Millis {
+	if !j.Timed() {
+		return 0
+	}
+	return j.First + clock.Millis(occurrence)*j.Interval
+}
+
+// Name is what identifies a task of a job: job, occurrence, step and index.
+type Name struct {
+	Job        string
+	Occurrence int
+	Step       int
+	Index      int
+}
+
+// String writes the name with dots between its parts.
+func (n Name) String() string {
+	return fmt.Sprintf("%s.%d.%d.%d", n.Job, n.Occurrence, n.Step, n.Index)
+}
+
+// ParseName reads what String wrote.
+func ParseName(s string) (Name, error) {
+	parts := strings.Split(s, ".")
+	bad := fault.New(fault.Invalid, "name tasks as job.occurrence.step.index", "%q is no task name", s)
+	if len(parts) != 4 || parts[0] == "" {
+		return Name{}, bad
+	}
+	var nums [3]int
+	for i, p := range parts[1:] {
+		n, err := strconv.Atoi(p)
+		if err != nil || n < 0 {
+			return Name{}, bad
+		}
+		nums[i] = n
+	}
+	return Name{parts[0], nums[0], nums[1], nums[2]}, nil
+}
--- /dev/null
+++ b/io/front/front.go
@@ -0,0 +1,117 @@
+// Package front is the callers' side of the system: it takes, cancels and
+// shows jobs. A job is accepted once the store holds it; no planner is needed.
+package front
+
+import (
+	"context"
+	"log/slog"
+	"math/rand/v2"
+
+	"gypsumcrank/core/clock"
+	"gypsumcrank/core/fault"
+	"gypsumcrank/core/route"
+	"gypsumcrank/core/task"
+	"gypsumcrank/io/store"
+)
+
+// Limits of a front.
+const (
+	// doubtTime is how long a write with a lost answer is looked into; callers
+	// wait 3 s in all.
+	doubtTime = 2200 * clock.Millisecond
+	// refusals is how often the store may refuse before a caller is sent away.
+	refusals = 3
+	// readTime bounds the look at the store for a job that is not in the mirror.
+	readTime = 1200 * clock.Millisecond
+	// comeBack is when a caller may try again after the store refused.
+	comeBack = clock.Second
+)
+
+// Front answers callers. Set the exported fields before use.
+type Front struct {
+	Store store.Keeper
+	Index *Index
+	Clock clock.Clock
+	Log   *slog.Logger
+}
+
+// Submit accepts a job of a queue. A nil error means that the job is stored. An
+// error with outcome not_run means that it is not, and never will be.
+func (f *Front) Submit(ctx context.Context, q route.Queue, account string, j *task.Job) error {
+	if _, known := f.Index.find(j.ID); known {
+		f.Log.Info("job_known", "job", j.ID, "queue", q.Name)
+		return nil
+	}
+	j.Queue, j.Account, j.Accepted = q.Name, account, f.Clock.Now()
+	j.Service, j.Priority, j.Attempts, j.Stretch, j.Target = q.Service, q.Priority, q.Attempts, q.Stretch, q.Target
+	if err := j.Check(); err != nil {
+		return err
+	}
+	raw, err := task.Encode(j)
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithTimeout(ctx, doubtTime.Duration())
+	defer cancel()
+	key := store.JobKey(j.ID)
+	res, err := store.Resolve(ctx, f.Store, store.Txn{
+		If:  []store.Condition{{Key: key}},
+		Put: []store.Item{{Key: key, Value: raw}},
+	}, refusals)
+	if err != nil {
+		err = fault.Of(err).WithRetry(spread(comeBack))
+		f.Log.Warn("job_not_accepted", "job", j.ID, "queue", q.Name, "account", account, "error", err, "outcome", fault.Of(err).Outcome)
+		return err
+	}
+	f.Log.Info("job_accepted", "job", j.ID, "queue", q.Name, "account", account, "steps", len(j.Steps), "revision", res.Rev, "first", res.Held)
+	return nil
+}
+
+// spread draws a time around t, so that callers don't return in one wave.
+func spread(t clock.Millis) clock.Millis {
+	return t/2 + rand.N(t)
+}
+
+// Cancel stores the cancellation of a job.
+func (f *Front) Cancel(ctx context.Context, id string) error {
+	s, err := f.State(ctx, id)
+	if err != nil {
+		return err
+	}
+	if s.Ended() {
+		return nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, doubtTime.Duration())
+	defer cancel()
+	key := store.CancelKey(id)
+	_, err = store.Resolve(ctx, f.Store, store.Txn{
+		If:  []store.Condition{{Key: key}},
+		Put: []store.Item{{Key: key, Value: []byte("caller")}},
+	}, refusals)
+	f.Log.Info("job_cancel", "job", id, "state", s, "error", err)
+	return err
+}
+
+// State shows a job. An unknown job is a not_found error.
+func (f *Front) State(ctx context.Context, id string) (task.State, error) {
+	if s, ok := f.Index.find(id); ok {
+		return s, nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, readTime.Duration())
+	defer cancel()
+	_, ok, err := f.Store.Get(ctx, store.JobKey(id))
+	if err != nil {
+		f.Log.Warn("job_unread", "job", id, "error", err)
+		return "", fault.Of(err).WithRetry(spread(comeBack))
+	}
+	if !ok {
+		return "", fault.New(fault.NotFound, "check the id, and submit the job if it never was", "no job %s", id)
+	}
+	if s, ok := f.Index.find(id); ok {
+		return s, nil
+	}
+	return task.Queued, nil
+}
+
+// Pending counts the accepted jobs of a queue that have not begun.
+func (f *Front) Pending(queue string) int { return f.Index.pending(queue) }
--- /dev/null
+++ b/io/front/index.go
@@ -0,0 +1,200 @@
+package front
+
+import (
+	"log/slog"
+	"sync"
+
+	"gypsumcrank/core/clock"
+	"gypsumcrank/core/plan"
+	"gypsumcrank/core/task"
+	"gypsumcrank/io/store"
+)
+
+// Index is the decoded copy of all jobs in the store. It is fed by a mirror.
+type Index struct {
+	Log *slog.Logger
+
+	mu        sync.Mutex
+	jobs      map[string]*entry
+	fronts    map[string]string
+	listeners map[int]func(msg any)
+	nextID    int
+}
+
+// entry is all that the store holds about one job.
+type entry struct {
+	job       *task.Job
+	progress  *task.Progress
+	rev       int64
+	cancelled bool
+}
+
+func (e *entry) msg() plan.JobMsg {
+	return plan.JobMsg{Job: e.job, Progress: e.progress, Rev: e.rev, Cancelled: e.cancelled}
+}
+
+// See applies changes of the mirror.
+func (x *Index) See(changes []store.Change) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	if x.jobs == nil {
+		x.jobs, x.fronts = make(map[string]*entry), make(map[string]string)
+	}
+	for _, c := range changes {
+		kind, id := store.ParseKey(c.Key)
+		switch kind {
+		case store.JobKind:
+			x.seeJob(id, c)
+		case store.CancelKind:
+			x.seeCancel(id, c)
+		case store.ProgressKind:
+			x.seeProgress(id, c)
+		case store.FrontKind:
+			if c.Deleted {
+				delete(x.fronts, id)
+			} else {
+				x.fronts[id] = string(c.Value)
+			}
+		}
+	}
+}
+
+func (x *Index) at(id string) *entry {
+	e := x.jobs[id]
+	if e == nil {
+		e = &entry{}
+		x.jobs[id] = e
+	}
+	return e
+}
+
+func (x *Index) seeJob(id string, c store.Change) {
+	if c.Deleted {
+		delete(x.jobs, id)
+		return
+	}
+	j, err := task.DecodeJob(c.Value)
+	if err != nil || j.ID != id {
+		x.Log.Warn("stored_job_unreadable", "job", id, "revision", c.Rev, "error", err)
+		return
+	}
+	e := x.at(id)
+	e.job = j
+	x.tell(e.msg())
+}
+
+func (x *Index) seeCancel(id string, c store.Change) {
+	if c.Deleted {
+		return
+	}
+	e := x.at(id)
+	e.cancelled = true
+	if e.job != nil {
+		x.tell(plan.CancelMsg{ID: id})
+	}
+}
+
+func (x *Index) seeProgress(id string, c store.Change) {
+	e := x.at(id)
+	if c.Deleted {
+		e.progress, e.rev = nil, 0
+		return
+	}
+	p, err := task.DecodeProgress(c.Value)
+	if err != nil {
+		x.Log.Error("stored_progress_unreadable", "job", id, "revision", c.Rev, "error", err)
+		return
+	}
+	e.progress, e.rev = p, c.Rev
+}
+
+func (x *Index) tell(msg any) {
+	for _, l := range x.listeners {
+		l(msg)
+	}
+}
+
+// Listen calls f with each JobMsg and CancelMsg from now on, after all that is
+// already known, until stop is called. f must not block or call back.
+func (x *Index) Listen(f func(msg any)) (stop func()) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	if x.listeners == nil {
+		x.listeners = make(map[int]func(msg any))
+	}
+	for _, e := range x.jobs {
+		if e.job != nil {
+			f(e.msg())
+		}
+	}
+	x.nextID++
+	id := x.nextID
+	x.listeners[id] = f
+	return func() {
+		x.mu.Lock()
+		defer x.mu.Unlock()
+		delete(x.listeners, id)
+	}
+}
+
+// Fronts lists the addresses of all fronts.
+func (x *Index) Fronts() []string {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	out := make([]string, 0, len(x.fronts))
+	for _, addr := range x.fronts {
+		out = append(out, addr)
+	}
+	return out
+}
+
+// state is what a caller is shown of a job.
+func (e *entry) state() task.State {
+	switch {
+	case e.progress != nil && e.progress.State.Ended():
+		return e.progress.State
+	case e.cancelled:
+		return task.Cancelled
+	case e.progress != nil:
+		return e.progress.State
+	default:
+		return task.Queued
+	}
+}
+
+// find returns the job's state, if the job is known here.
+func (x *Index) find(id string) (task.State, bool) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	e := x.jobs[id]
+	if e == nil || e.job == nil {
+		return "", false
+	}
+	return e.state(), true
+}
+
+// pending counts the jobs of a queue that wait for nothing but room.
+func (x *Index) pending(queue string) int {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	n := 0
+	for _, e := range x.jobs {
+		if e.job != nil && e.job.Queue == queue && !e.cancelled && (e.progress == nil || !e.progress.Begun && !e.progress.State.Ended()) {
+			n++
+		}
+	}
+	return n
+}
+
+// oldestWait is how long the longest waiting job of a queue has waited.
+func (x *Index) oldestWait(queue string, now clock.Millis) clock.Millis {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	var longest clock.Millis
+	for _, e := range x.jobs {
+		if e.job != nil && e.job.Queue == queue && !e.cancelled && e.progress == nil {
+			longest = max(longest, now-e.job.Accepted)
+		}
+	}
+	return longest
+}
--- a/io/httpd/httpd.go
+++ b/io/httpd/httpd.go
@@ -46,6 +46,8 @@
 type Server struct {
 	Addr string
 	Log  *slog.Logger
+	// Fallback, if set, answers what no registered path matches.
+	Fallback Handler
 
 	hertz    *server.Hertz
 	listener net.Listener
@@ -94,6 +96,11 @@
 	for _, r := range s.routes {
 		s.hertz.Handle(r.method, r.path, s.wrap(r.handle))
 	}
+	if s.Fallback != nil {
+		s.hertz.NoRoute(s.wrap(s.Fallback))
+		go s.run()
+		return nil
+	}
 	s.hertz.NoRoute(func(_ context.Context, c *app.RequestContext) {
 		(&Request{c}).Problem(fault.New(fault.NotFound, "see README.md for the paths", "no such path: %s", c.Path()))
 	})
@@ -141,6 +148,18 @@
 // Body is the request's body.
 func (r *Request) Body() []byte { return append([]byte(nil), r.c.Request.Body()...) }
 
+// Method is the request's method.
+func (r *Request) Method() string { return string(r.c.Method()) }
+
+// Path is the request's path.
+func (r *Request) Path() string { return string(r.c.Path()) }
+
+// Host is the host that the caller named.
+func (r *Request) Host() string { return string(r.c.Host()) }
+
+// CloseAfter has the connection end with this answer.
+func (r *Request) CloseAfter() { r.c.SetConnectionClose() }
+
 // Header reads a request header.
 func (r *Request) Header(name string) string { return string(r.c.GetHeader(name)) }
 
--- /dev/null
+++ b/io/link/link.go
@@ -0,0 +1,161 @@
+// Package link carries messages between the planner and the sides over one
+// plain TCP connection each: CBOR values behind a four-byte length.
+//
+// There is no key material on the hosts of the users' platform, so there is
+// no TLS here; the network between the hosts is the platform's to guard.
+package link
+
+import (
+	"bufio"
+	"encoding/binary"
+	"io"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"gypsumcrank/core/clock"
+	"gypsumcrank/core/fault"
+	"gypsumcrank/core/plan"
+)
+
+// Bounds of a connection.
+const (
+	maxFrame     = 4 << 20 // bytes; a report of some thousand tasks fits
+	queued       = 1024    // frames that may wait for a slow peer
+	writeTimeout = 2 * time.Second
+)
+
+// Hello opens a side's connection.
+type Hello struct {
+	Node string `cbor:"1,keyasint"`
+	// Ask means that the side only wants to know who the planner is.
+	Ask bool `cbor:"2,keyasint,omitempty"`
+}
+
+// Welcome answers a Hello: who is the planner, and which fronts there are.
+type Welcome struct {
+	Planner bool     `cbor:"1,keyasint,omitempty"` // it is the one that answers
+	Epoch   int64    `cbor:"2,keyasint,omitempty"`
+	Addr    string   `cbor:"3,keyasint,omitempty"`
+	Fronts  []string `cbor:"4,keyasint,omitempty"`
+}
+
+// Frame is one message; exactly one field is set.
+type Frame struct {
+	Hello   *Hello          `cbor:"1,keyasint,omitempty"`
+	Welcome *Welcome        `cbor:"2,keyasint,omitempty"`
+	Report  *plan.ReportMsg `cbor:"3,keyasint,omitempty"`
+	Result  *plan.ResultMsg `cbor:"4,keyasint,omitempty"`
+	Grant   *plan.Grant     `cbor:"5,keyasint,omitempty"`
+	Order   *plan.Order     `cbor:"6,keyasint,omitempty"`
+	// Doubt says that the planner may have been deposed.
+	Doubt bool `cbor:"7,keyasint,omitempty"`
+}
+
+// Conn sends and receives frames. Send never blocks.
+type Conn struct {
+	raw  net.Conn
+	in   *bufio.Reader
+	out  chan Frame
+	once sync.Once
+	done chan struct{}
+}
+
+// New wraps a connection and starts its writer.
+func New(raw net.Conn) *Conn {
+	c := &Conn{raw: raw, in: bufio.NewReader(raw), out: make(chan Frame, queued), done: make(chan struct{})}
+	go c.run()
+	return c
+}
+
+// Dial opens a connection to another process.
+func Dial(addr string, timeout clock.Millis) (*Conn, error) {
+	d := net.Dialer{Timeout: timeout.Duration(), KeepAlive: 5 * time.Second}
+	raw, err := d.Dial("tcp", addr)
+	if err != nil {
+		return nil, err
+	}
+	return New(raw), nil
+}
+
+// Send queues a frame. A peer that has let the queue fill is cut off.
+func (c *Conn) Send(f Frame) {
+	select {
+	case c.out <- f:
+	case <-c.done:
+	default:
+		c.Close()
+	}
+}
+
+// Receive waits for the next frame, at most for the given time.
+func (c *Conn) Receive(wait clock.Millis) (Frame, error) {
+	var f Frame
+	if err := c.raw.SetReadDeadline(time.Now().Add(wait.Duration())); err != nil {
+		return f, err
+	}
+	var head [4]byte
+	if _, err := io.ReadFull(c.in, head[:]); err != nil {
+		return f, err
+	}
+	n := binary.BigEndian.Uint32(head[:])
+	if n > maxFrame {
+		return f, fault.New(fault.TooLarge, "check that both processes run the same version", "a frame of %d bytes", n)
+	}
+	body := make([]byte, n)
+	if _, err := io.ReadFull(c.in, body); err != nil {
+		return f, err
+	}
+	return f, cbor.Unmarshal(body, &f)
+}
+
+// Close ends the connection; frames still queued are lost.
+func (c *Conn) Close() {
+	c.once.Do(func() {
+		close(c.done)
+		_ = c.raw.Close()
+	})
+}
+
+// Done is closed when the connection has ended.
+func (c *Conn) Done() <-chan struct{} { return c.done }
+
+func (c *Conn) run() {
+	w := bufio.NewWriter(c.raw)
+	for {
+		select {
+		case <-c.done:
+			return
+		case f := <-c.out:
+			if err := c.write(w, f); err != nil {
+				c.Close()
+				return
+			}
+		}
+	}
+}
+
+// write sends one frame, and flushes once no other waits.
+func (c *Conn) write(w *bufio.Writer, f Frame) error {
+	body, err := cbor.Marshal(f)
+	if err != nil {
+		return err
+	}
+	if err := c.raw.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
+		return err
+	}
+	var head [4]byte
+	binary.BigEndian.PutUint32(head[:], uint32(len(body)))
+	if _, err := w.Write(head[:]); err != nil {
+		return err
+	}
+	if _, err := w.Write(body); err != nil {
+		return err
+	}
+	if len(c.out) > 0 {
+		return nil
+	}
+	return w.Flush()
+}
--- /dev/null
+++ b/io/mirror/mirror.go
@@ -0,0 +1,200 @@
+// Package mirror keeps a copy of all keys under a prefix of the store, by
+// listing them once and watching from there.
+package mirror
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"sync"
+	"time"
+
+	"gypsumcrank/core/clock"
+	"gypsumcrank/core/kern"
+	"gypsumcrank/io/store"
+)
+
+// Waits of the watch.
+const (
+	// pollWait bounds how long a watch that has gone silent goes unnoticed;
+	// a configuration has to be in force within 2 s.
+	pollWait = 1500 * clock.Millisecond
+	// retryPause is the wait after a failed call.
+	retryPause = 100 * time.Millisecond
+)
+
+// Mirror follows a prefix. Set the exported fields before Start.
+type Mirror struct {
+	Prefix string
+	Store  store.Keeper
+	Log    *slog.Logger
+	// See is called with changes in order, from one goroutine.
+	See func([]store.Change)
+
+	mu     sync.Mutex
+	keys   map[string]store.KV
+	rev    int64
+	moved  chan struct{}
+	heard  clock.Millis
+	out    bool
+	cancel context.CancelFunc
+	ended  chan struct{}
+}
+
+// Start begins to follow; it does not wait for the store.
+func (m *Mirror) Start(context.Context, *kern.Kernel) error {
+	ctx, cancel := context.WithCancel(context.Background())
+	m.cancel, m.ended = cancel, make(chan struct{})
+	m.keys, m.moved = make(map[string]store.KV), make(chan struct{})
+	go m.run(ctx)
+	return nil
+}
+
+// Stop ends following.
+func (m *Mirror) Stop(context.Context) error {
+	m.cancel()
+	<-m.ended
+	return nil
+}
+
+// Rev is the revision up to which the copy is complete, 0 before the first list.
+func (m *Mirror) Rev() int64 {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.rev
+}
+
+// Heard is when the store last answered, on the steady clock; 0 if never.
+func (m *Mirror) Heard() clock.Millis {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.heard
+}
+
+// Wait returns once the copy is complete up to a revision, or ctx ends.
+func (m *Mirror) Wait(ctx context.Context, rev int64) error {
+	for {
+		m.mu.Lock()
+		have, moved := m.rev, m.moved
+		m.mu.Unlock()
+		if have >= rev {
+			return nil
+		}
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-moved:
+		}
+	}
+}
+
+func (m *Mirror) run(ctx context.Context) {
+	defer close(m.ended)
+	listed := false
+	for ctx.Err() == nil {
+		var err error
+		if !listed {
+			err = m.list(ctx)
+			listed = err == nil
+		} else {
+			err = m.poll(ctx)
+			if errors.Is(err, store.ErrCompacted) {
+				m.Log.Info("mirror_history_lost", "prefix", m.Prefix, "revision", m.Rev())
+				listed, err = false, nil
+			}
+		}
+		m.health(ctx, err)
+		if err != nil {
+			select {
+			case <-ctx.Done():
+			case <-time.After(retryPause):
+			}
+		}
+	}
+}
+
+// health logs when the store is lost and when it is back.
+func (m *Mirror) health(ctx context.Context, err error) {
+	if ctx.Err() != nil {
+		return
+	}
+	switch {
+	case err != nil && !m.out:
+		m.out = true
+		m.Log.Warn("store_lost", "prefix", m.Prefix, "revision", m.Rev(), "error", err)
+	case err == nil && m.out:
+		m.out = false
+		m.Log.Info("store_back", "prefix", m.Prefix, "revision", m.Rev())
+	}
+}
+
+// list takes all keys anew and reports what differs from the copy.
+func (m *Mirror) list(ctx context.Context) error {
+	kvs, rev, err := m.Store.List(ctx, m.Prefix)
+	if err != nil {
+		return err
+	}
+	now := make(map[string]bool, len(kvs))
+	var changes []store.Change
+	for _, kv := range kvs {
+		now[kv.Key] = true
+		changes = append(changes, store.Change{KV: kv})
+	}
+	m.mu.Lock()
+	for key := range m.keys {
+		if !now[key] {
+			changes = append(changes, store.Change{KV: store.KV{Key: key, Rev: rev}, Deleted: true})
+		}
+	}
+	m.mu.Unlock()
+	m.apply(changes, rev)
+	return nil
+}
+
+func (m *Mirror) poll(ctx context.Context) error {
+	changes, rev, err := m.Store.Poll(ctx, m.Prefix, m.Rev(), pollWait)
+	if err != nil {
+		return err
+	}
+	m.apply(changes, rev)
+	return nil
+}
+
+// apply drops what is already known, tells See about the rest, and then
+// announces the revision.
+func (m *Mirror) apply(changes []store.Change, rev int64) {
+	var fresh []store.Change
+	m.mu.Lock()
+	for _, c := range changes {
+		old, have := m.keys[c.Key]
+		if have && old.Rev >= c.Rev && !(c.Deleted && old.Rev == c.Rev) || c.Deleted && !have {
+			continue
+		}
+		if c.Deleted {
+			delete(m.keys, c.Key)
+		} else {
+			m.keys[c.Key] = c.KV
+		}
+		fresh = append(fresh, c)
+	}
+	m.mu.Unlock()
+	if len(fresh) > 0 && m.See != nil {
+		m.See(fresh)
+	}
+	m.mu.Lock()
+	m.heard = clock.System().Steady()
+	if rev > m.rev {
+		m.rev = rev
+		close(m.moved)
+		m.moved = make(chan struct{})
+	}
+	m.mu.Unlock()
+}
+
+// Get reads a key from the copy.
+func (m *Mirror) Get(key string) (store.KV, bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	kv, ok := m.keys[key]
+	return kv, ok
+}
