--- a/cmd/gypsumcrank/platform.go
+++ b/cmd/gypsumcrank/platform.go
@@ -80,16 +80,21 @@
 	d.index = &front.Index{Log: log}
 	d.jobs = &mirror.Mirror{Prefix: store.Root, Store: d.keeper, Log: log, See: d.index.See}
 	d.ops = &mirror.Mirror{Prefix: platform.ConfigRoot, Store: d.keeper, Log: log, See: d.seeConfig}
-	limits := plan.DefaultSettings()
-	limits.Hold = set.Hold - holdMargin
-	limits.KeepEnded = set.KeepEnded + keepMargin
 	d.steer = &steer.Steer{
-		Node: set.Node, Addr: set.Link, Store: d.keeper, Mirror: d.jobs, Index: d.index, Config: d.config, Plan: limits, Log: log,
+		Node: set.Node, Addr: set.Link, Store: d.keeper, Mirror: d.jobs, Index: d.index, Config: d.config, Plan: planSettings(set), Log: log,
 	}
 	d.ingress = &platform.Ingress{Config: d.config, Front: &front.Front{Store: d.keeper, Index: d.index, Log: log}}
 	return d
 }
 
+// planSettings fits the planner to the platform's bounds.
+func planSettings(set platform.Settings) plan.Settings {
+	p := plan.DefaultSettings()
+	p.Hold = set.Hold - holdMargin
+	p.KeepEnded = set.KeepEnded + keepMargin
+	return p
+}
+
 func (d *frontDaemon) run(ctx context.Context) error {
 	d.log.Info("process_start", "role", "front", "front", d.set.Front, "link", d.set.Link)
 	k := &kern.Kernel{Log: d.log}
@@ -104,6 +109,8 @@
 	serving, end := context.WithCancel(context.Background())
 	defer end()
 	go d.runRegister(serving)
+	settings := &reloader{current: d.set, log: d.log, apply: func(set platform.Settings) { d.steer.Reset(planSettings(set)) }}
+	go settings.run(serving)
 	go d.runLeave(ctx, end)
 	err := k.Run(serving)
 	d.log.Info("process_stop", "error", err)
@@ -191,6 +198,8 @@
 	s := &side.Side{Node: set.Node, Fronts: set.Peers, Store: platform.NewKV(set.Store), Worker: platform.NewWorker(set.Executor), Log: log}
 	beats := &httpd.Server{Addr: set.Control, Log: log}
 	platform.Beats(beats, s)
+	settings := &reloader{current: set, log: log, apply: func(set platform.Settings) { s.Learn(set.Peers) }}
+	go settings.run(ctx)
 	k := &kern.Kernel{Log: log}
 	k.Add("side", s)
 	k.Add("beats", beats)
--- a/io/side/find.go
+++ b/io/side/find.go
@@ -78,7 +78,7 @@
 				s.Log.Debug("front_unreached", "addr", a, "error", err)
 				return
 			}
-			s.learn(w.Fronts)
+			s.Learn(w.Fronts)
 			mu.Lock()
 			defer mu.Unlock()
 			if w.Epoch > best.Epoch || w.Epoch == best.Epoch && w.Planner {
@@ -114,7 +114,7 @@
 	defer cancel()
 	if kvs, _, err := s.Store.List(ctx, store.FrontRoot()); err == nil {
 		for _, kv := range kvs {
-			s.learn([]string{string(kv.Value)})
+			s.Learn([]string{string(kv.Value)})
 		}
 	}
 	kv, ok, err := s.Store.Get(ctx, store.PlannerKey)
@@ -135,7 +135,8 @@
 // mostFronts bounds how many addresses are remembered.
 const mostFronts = 64
 
-func (s *Side) learn(addrs []string) {
+// Learn adds addresses to ask for the planner.
+func (s *Side) Learn(addrs []string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, a := range addrs {
@@ -165,7 +166,7 @@
 	if err != nil || f.Welcome == nil || !f.Welcome.Planner || f.Welcome.Epoch < epoch {
 		return false
 	}
-	s.learn(f.Welcome.Fronts)
+	s.Learn(f.Welcome.Fronts)
 	s.follow(c, f.Welcome.Epoch)
 	defer s.unfollow(c)
 	s.Log.Info("planner_found", "epoch", f.Welcome.Epoch, "addr", addr)
--- a/io/steer/steer.go
+++ b/io/steer/steer.go
@@ -100,6 +100,19 @@
 	}
 }
 
+// Reset changes the limits from the next term on.
+func (s *Steer) Reset(limits plan.Settings) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.Plan = limits
+}
+
+func (s *Steer) limits() plan.Settings {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.Plan
+}
+
 func (s *Steer) current() *term {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/io/steer/term.go
+++ b/io/steer/term.go
@@ -47,7 +47,7 @@
 // serve plans until the term is lost or ctx ends.
 func (t *term) serve(ctx context.Context) {
 	s := t.steer
-	t.planner = &plan.Planner{Epoch: t.epoch, Settings: s.Plan}
+	t.planner = &plan.Planner{Epoch: t.epoch, Settings: s.limits()}
 	t.conns = make(map[string]*link.Conn)
 	t.over = make(chan string, 1)
 	t.loop = &kern.Loop{Model: t}
@@ -176,7 +176,7 @@
 	for _, n := range e.Notes {
 		t.log(n)
 	}
-	stale := now.Steady > t.valid+t.steer.Plan.StaleGrant
+	stale := now.Steady > t.valid+t.planner.Settings.StaleGrant
 	for i := range e.Orders {
 		if c := t.conns[e.Orders[i].Node]; c != nil {
 			c.Send(link.Frame{Order: &e.Orders[i]})
