--- a/cmd/gypsumcrank/platform.go
+++ b/cmd/gypsumcrank/platform.go
@@ -5,6 +5,7 @@
 	"log/slog"
 	"runtime"
 	"runtime/debug"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -14,7 +15,9 @@
 	"gypsumcrank/core/route"
 	"gypsumcrank/io/front"
 	"gypsumcrank/io/httpd"
+	"gypsumcrank/io/link"
 	"gypsumcrank/io/mirror"
+	"gypsumcrank/io/relay"
 	"gypsumcrank/io/side"
 	"gypsumcrank/io/steer"
 	"gypsumcrank/io/store"
@@ -66,6 +69,7 @@
 	set     platform.Settings
 	log     *slog.Logger
 	keeper  store.Keeper
+	relay   *relay.Relay
 	config  *route.Current
 	index   *front.Index
 	jobs    *mirror.Mirror
@@ -76,17 +80,32 @@
 }
 
 func newFrontDaemon(set platform.Settings, log *slog.Logger) *frontDaemon {
-	d := &frontDaemon{set: set, log: log, keeper: platform.NewKV(set.Store), config: &route.Current{}}
+	direct := platform.NewKV(set.Store)
+	d := &frontDaemon{set: set, log: log, config: &route.Current{}}
 	d.index = &front.Index{Log: log}
+	d.relay = &relay.Relay{Direct: direct, Peers: d.peers, Log: log}
+	d.keeper = d.relay
 	d.jobs = &mirror.Mirror{Prefix: store.Root, Store: d.keeper, Log: log, See: d.index.See}
 	d.ops = &mirror.Mirror{Prefix: platform.ConfigRoot, Store: d.keeper, Log: log, See: d.seeConfig}
 	d.steer = &steer.Steer{
 		Node: set.Node, Addr: set.Link, Store: d.keeper, Mirror: d.jobs, Index: d.index, Config: d.config, Plan: planSettings(set), Log: log,
+		Relay: func(c *link.Conn, first link.Call) { relay.Serve(c, direct, first) },
 	}
 	d.ingress = &platform.Ingress{Config: d.config, Front: &front.Front{Store: d.keeper, Index: d.index, Log: log}}
 	return d
 }
 
+// peers lists the other fronts.
+func (d *frontDaemon) peers() []string {
+	var out []string
+	for _, a := range append(d.index.Fronts(), d.set.Peers...) {
+		if a != d.set.Link && !slices.Contains(out, a) {
+			out = append(out, a)
+		}
+	}
+	return out
+}
+
 // planSettings fits the planner to the platform's bounds.
 func planSettings(set platform.Settings) plan.Settings {
 	p := plan.DefaultSettings()
@@ -98,6 +117,7 @@
 func (d *frontDaemon) run(ctx context.Context) error {
 	d.log.Info("process_start", "role", "front", "front", d.set.Front, "link", d.set.Link)
 	k := &kern.Kernel{Log: d.log}
+	k.Add("store", d.relay)
 	k.Add("jobs", d.jobs)
 	k.Add("config", d.ops)
 	callers := &httpd.Server{Addr: d.set.Front, Log: d.log, Fallback: d.serve}
--- a/io/front/front.go
+++ b/io/front/front.go
@@ -17,8 +17,8 @@
 // Limits of a front.
 const (
 	// doubtTime is how long a write with a lost answer is looked into; callers
-	// wait 3 s in all.
-	doubtTime = 2200 * clock.Millisecond
+	// wait 3 s in all, and can try again elsewhere.
+	doubtTime = 1200 * clock.Millisecond
 	// refusals is how often the store may refuse before a caller is sent away.
 	refusals = 3
 	// readTime bounds the look at the store for a job that is not in the mirror.
--- a/io/link/link.go
+++ b/io/link/link.go
@@ -51,7 +51,9 @@
 	Grant   *plan.Grant     `cbor:"5,keyasint,omitempty"`
 	Order   *plan.Order     `cbor:"6,keyasint,omitempty"`
 	// Doubt says that the planner may have been deposed.
-	Doubt bool `cbor:"7,keyasint,omitempty"`
+	Doubt bool   `cbor:"7,keyasint,omitempty"`
+	Call  *Call  `cbor:"8,keyasint,omitempty"`
+	Reply *Reply `cbor:"9,keyasint,omitempty"`
 }
 
 // Conn sends and receives frames. Send never blocks.
--- /dev/null
+++ b/io/relay/peer.go
@@ -0,0 +1,102 @@
+package relay
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"gypsumcrank/core/fault"
+	"gypsumcrank/io/link"
+	"gypsumcrank/io/store"
+)
+
+// peer is a connection on which calls wait for their replies.
+type peer struct {
+	conn *link.Conn
+
+	mu      sync.Mutex
+	next    uint64
+	waiting map[uint64]chan link.Reply
+}
+
+// loop hands replies to those who wait, until the connection ends.
+func (p *peer) loop() {
+	for {
+		f, err := p.conn.Receive(idleTime)
+		if err != nil {
+			p.conn.Close()
+			return
+		}
+		if f.Reply == nil {
+			continue
+		}
+		p.mu.Lock()
+		ch := p.waiting[f.Reply.ID]
+		delete(p.waiting, f.Reply.ID)
+		p.mu.Unlock()
+		if ch != nil {
+			ch <- *f.Reply
+		}
+	}
+}
+
+// call sends a call and waits for its reply.
+func (p *peer) call(ctx context.Context, c link.Call) (link.Reply, error) {
+	ch := make(chan link.Reply, 1)
+	p.mu.Lock()
+	p.next++
+	c.ID = p.next
+	p.waiting[c.ID] = ch
+	p.mu.Unlock()
+	p.conn.Send(link.Frame{Call: &c})
+	wait := callTimeout
+	if c.Op == link.OpPoll {
+		wait += c.Wait
+	}
+	timeout := time.NewTimer(wait.Duration())
+	defer timeout.Stop()
+	select {
+	case reply := <-ch:
+		return reply, nil
+	case <-ctx.Done():
+	case <-timeout.C:
+	case <-p.conn.Done():
+	}
+	p.mu.Lock()
+	delete(p.waiting, c.ID)
+	p.mu.Unlock()
+	return link.Reply{}, fault.New(fault.StoreOut, "try again", "no reply of a peer to %s", c.Op).WithOutcome(fault.Unknown)
+}
+
+// Serve answers the calls of one connection with a direct store, beginning
+// with the first, until the connection ends.
+func Serve(c *link.Conn, direct store.Keeper, first link.Call) {
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	s := &server{conn: c, direct: direct}
+	go s.run(ctx, first)
+	for {
+		f, err := c.Receive(idleTime)
+		if err != nil {
+			return
+		}
+		if f.Call != nil {
+			go s.run(ctx, *f.Call)
+		}
+	}
+}
+
+// server makes calls for a peer.
+type server struct {
+	conn   *link.Conn
+	direct store.Keeper
+}
+
+func (s *server) run(ctx context.Context, c link.Call) {
+	reply, err := Direct(ctx, s.direct, c)
+	reply.ID = c.ID
+	if err != nil {
+		reply.Err = fault.Of(err)
+	}
+	s.conn.Send(link.Frame{Reply: &reply})
+}
--- a/io/steer/steer.go
+++ b/io/steer/steer.go
@@ -62,6 +62,8 @@
 	Plan   plan.Settings
 	Clock  clock.Clock
 	Log    *slog.Logger
+	// Relay serves a connection of another process that calls the store here.
+	Relay func(c *link.Conn, first link.Call)
 
 	mu       sync.Mutex
 	term     *term
@@ -196,6 +198,10 @@
 func (s *Steer) runConn(c *link.Conn) {
 	defer c.Close()
 	f, err := c.Receive(helloWait)
+	if err == nil && f.Call != nil && s.Relay != nil {
+		s.Relay(c, *f.Call)
+		return
+	}
 	if err != nil || f.Hello == nil {
 		return
 	}
