Urgent work waits for tasks that are about to end instead of stopping them

Ruled out: evicting less for short urgent jobs (their objective leaves 1.5 s, a stop takes 0.9 s). Now progress tells when a task ends, its room is booked, and it is stopped after all if it does not end in time. Callers sent away in an outage are told to come back later the longer it lasts.

--- a/core/plan/evict.go
+++ b/core/plan/evict.go
@@ -52,29 +52,14 @@
 // makeRoom stops the work that loses least for an ask of priority 0, and keeps
 // the room for it until it is free.
 func (p *Planner) makeRoom(b *board, a *ask) {
-	u := a.first()
-	var best *eviction
-	try := func(workers []*worker, extra float64) {
-		e := p.weigh(b, a, workers)
-		if e == nil {
-			return
-		}
-		e.cost += extra
-		if best == nil || e.cost < best.cost {
-			best = e
-		}
-	}
-	if u.step.SameRack && len(a.units) > 1 {
-		for _, r := range b.racks {
-			try(b.inRack(r), 0)
-		}
-		try(b.workers, p.farWork(a))
-	} else {
-		try(b.workers, 0)
-	}
+	best := p.leastLoss(b, a)
 	if best == nil {
 		return
 	}
+	for v := range best.awaited {
+		v.yields = p.now.Steady + best.wait + yieldSlack
+		b.soon[v.at] = b.soon[v.at].Plus(v.need())
+	}
 	for v := range best.victims {
 		b.evicted[v] = true
 		if v.at != nil {
@@ -91,6 +76,91 @@
 	}
 }
 
+// leastLoss weighs the ways to make room for an ask: on each rack alone, on
+// each rack after a wait that makes the ask late, and anywhere.
+func (p *Planner) leastLoss(b *board, a *ask) *eviction {
+	u := a.first()
+	var best *eviction
+	try := func(workers []*worker, wait clock.Millis, extra float64) {
+		e := p.weigh(b, a, workers, wait)
+		if e == nil {
+			return
+		}
+		e.cost += extra
+		if best == nil || e.cost < best.cost {
+			best = e
+		}
+	}
+	wait := p.mayWait(a)
+	if !u.step.SameRack || len(a.units) == 1 {
+		try(b.workers, wait, 0)
+		return best
+	}
+	longer := max(wait, (farFactor-1)*u.step.Estimate/2)
+	for _, r := range b.racks {
+		try(b.inRack(r), wait, 0)
+		try(b.inRack(r), longer, p.farWork(a)/2)
+	}
+	try(b.workers, wait, p.farWork(a))
+	return best
+}
+
+// estimateCare is how many percent of its estimate an urgent task is given;
+// estimates are rough.
+const estimateCare = 150
+
+// mayWait is how long an ask can wait for tasks that end by themselves: until
+// its job would be late, and as long as a stop takes in any case.
+func (p *Planner) mayWait(a *ask) clock.Millis {
+	wait := max(a.deadline-p.now.Steady-a.first().step.Estimate*estimateCare/100, p.Settings.StopTime)
+	if a.entitled {
+		wait = min(wait, a.since+p.Settings.Reclaim/2-p.now.Steady)
+	}
+	return max(0, wait)
+}
+
+// yieldSlack is how much later than expected an awaited task may end before it
+// is stopped.
+const yieldSlack = 200 * clock.Millisecond
+
+// surePercent is the progress from which a task's end can be told.
+const surePercent = 20
+
+// ending tells whether a task will surely end within a time.
+func (p *Planner) ending(u *unit, within clock.Millis) bool {
+	return u.phase == running && u.percent >= surePercent && p.now.Steady-u.moved < 2*clock.Second && p.remaining(u) <= within
+}
+
+// checkYields stops tasks that should have ended for an ask by now.
+func (p *Planner) checkYields(w *worker) {
+	for _, u := range w.sorted() {
+		if u.yields == 0 || p.now.Steady < u.yields {
+			continue
+		}
+		u.yields = 0
+		if u.phase == running && u.job.Priority > 0 && p.bookedOn(w) {
+			p.note(Note{Kind: "task_evicted", Job: u.job.ID, Task: u.name.String(), Worker: w.node, Run: u.run, Detail: "it did not end in time"})
+			p.stop(u)
+			p.breakGang(u)
+		}
+	}
+}
+
+// bookedOn tells whether some ask waits for room on a worker.
+func (p *Planner) bookedOn(w *worker) bool {
+	for _, j := range p.jobs {
+		if j.state.Ended() || j.Priority > 0 {
+			continue
+		}
+		for _, u := range j.units {
+			if u.booked == w && u.phase == idle {
+				return true
+			}
+		}
+	}
+	return false
+}
+
 // keepBooking holds on to the room that is being made for an ask, and starts
 // the ask there once all of it is free. It returns false if there is no
 // booking or a booked worker can't be used any more.
@@ -150,13 +220,15 @@
 // eviction is one way to make room for an ask.
 type eviction struct {
 	at      []*worker
-	victims map[*unit]bool
+	victims map[*unit]bool // to be stopped
+	awaited map[*unit]bool // expected to end within wait
+	wait    clock.Millis
 	cost    float64
 }
 
 // weigh finds, task by task, the worker where making room loses least.
-func (p *Planner) weigh(b *board, a *ask, workers []*worker) *eviction {
-	e := &eviction{at: make([]*worker, len(a.units)), victims: make(map[*unit]bool)}
+func (p *Planner) weigh(b *board, a *ask, workers []*worker, wait clock.Millis) *eviction {
+	e := &eviction{at: make([]*worker, len(a.units)), victims: make(map[*unit]bool), awaited: make(map[*unit]bool), wait: wait}
 	gained := make(map[*worker]task.Room)
 	count := make(map[*worker]int)
 	for i, u := range a.units {
@@ -187,8 +259,13 @@
 		e.cost += bestCost
 		count[best]++
 		for _, v := range bestVictims {
+			if p.ending(v, wait) {
+				e.awaited[v] = true
+				gained[v.at] = gained[v.at].Plus(v.need())
+				continue
+			}
 			for _, m := range wholeGang(v) {
-				if m.at != nil && !e.victims[m] {
+				if m.at != nil && !e.victims[m] && !e.awaited[m] {
 					e.victims[m] = true
 					gained[m.at] = gained[m.at].Plus(m.need())
 				}
@@ -214,13 +291,15 @@
 	}
 	var can []*unit
 	for v := range w.units {
-		if !e.victims[v] && p.evictable(b, a, v) {
+		if !e.victims[v] && !e.awaited[v] && v.yields == 0 && (p.evictable(b, a, v) || p.ending(v, e.wait)) {
 			can = append(can, v)
 		}
 	}
 	losses := make(map[*unit]float64, len(can))
 	for _, v := range can {
-		losses[v] = p.loss(v)
+		if !p.ending(v, e.wait) {
+			losses[v] = p.loss(v)
+		}
 	}
 	sort.Slice(can, func(i, j int) bool {
 		if losses[can[i]] != losses[can[j]] {
--- a/core/plan/fleet_test.go
+++ b/core/plan/fleet_test.go
@@ -393,6 +393,13 @@
 	}
 }
 
+func (f *fleet) percent(h *host, r *run) int {
+	if r.began == 0 {
+		return 0
+	}
+	return int(100 * (r.from + f.now - r.began) / max(1, f.takes(f.jobs[r.name.Job], r.name.Step, h)))
+}
+
 func (h *host) names() []string {
 	var out []string
 	for n := range h.runs {
@@ -462,7 +469,7 @@
 	m := h.about()
 	m.Epoch, m.Clock, m.Results = f.epoch, f.now, h.results
 	for _, name := range h.names() {
-		m.Running = append(m.Running, plan.RunningTask{Task: name, Run: h.runs[name].run, Percent: int(f.now/100) % 100})
+		m.Running = append(m.Running, plan.RunningTask{Task: name, Run: h.runs[name].run, Percent: f.percent(h, h.runs[name])})
 	}
 	m.Ended = append(m.Ended, h.ends...)
 	planner := f.planner
--- a/core/plan/load_test.go
+++ b/core/plan/load_test.go
@@ -43,3 +43,38 @@
 	c.Check(f.lost/1000 < 1000, qt.IsTrue, qt.Commentf("lost %.0f core-seconds", f.lost/1000))
 	c.Check(f.finished["wide"]-f.jobs["wide"].Accepted < 3*23_600, qt.IsTrue)
 }
+
+// An urgent job that comes while a large task is about to end waits for it: a
+// stop takes as long, and threw away the whole task (cedarleaf scale-2, where
+// 0.045 of the worth was work thrown away).
+func TestAnUrgentJobWaitsForATaskThatIsAboutToEnd(t *testing.T) {
+	f := newFleet(t, 1, 1, room)
+	f.submit(&task.Job{ID: "match", Priority: 1, Stretch: 3, Target: 1000, Steps: []task.Step{
+		{Count: 1, Estimate: 11000, Need: task.Room{MilliCPU: 52000, MemoryMB: 75000, Accelerators: 8}},
+	}})
+	f.run(10_500)
+	f.submit(render("swatch", 1, 4, 2500))
+	f.finish(10_000)
+	c := qt.New(t)
+	c.Check(f.lost, qt.Equals, 0.0)
+	c.Check(f.finished["swatch"]-f.jobs["swatch"].Accepted < 1.5*2500+250, qt.IsTrue)
+}
+
+// A task that stands still close to its end is not waited for beyond the time
+// it was given.
+func TestAnUrgentJobDoesNotWaitForATaskThatDoesNotEnd(t *testing.T) {
+	f := newFleet(t, 1, 1, room)
+	f.takes = func(j *task.Job, step int, _ *host) clock.Millis {
+		if j.ID == "match" && f.now > 1_010_000 {
+			return 1_000_000
+		}
+		return j.Steps[step].Estimate
+	}
+	f.submit(&task.Job{ID: "match", Priority: 1, Stretch: 3, Target: 1000, Steps: []task.Step{
+		{Count: 1, Estimate: 11000, Need: task.Room{MilliCPU: 52000, MemoryMB: 75000, Accelerators: 8}},
+	}})
+	f.run(10_500)
+	f.submit(render("swatch", 1, 4, 2500))
+	f.run(6000)
+	qt.Check(t, f.finished["swatch"] > 0, qt.IsTrue)
+}
--- a/core/plan/place.go
+++ b/core/plan/place.go
@@ -27,7 +27,7 @@
 		b.free[w] = w.free()
 		soon := w.free()
 		for u := range w.units {
-			if u.phase == stopping {
+			if u.phase == stopping || u.yields > 0 {
 				soon = soon.Plus(u.need())
 			}
 		}
--- a/core/plan/plan.go
+++ b/core/plan/plan.go
@@ -26,11 +26,13 @@
 	StaleGrant clock.Millis // how long a deposed planner may go on extending leases
 	KeepEnded  clock.Millis // how long ended jobs are kept
 	StartWait  clock.Millis // how long a gang's members may take to start
+	StopTime   clock.Millis // longest time that a stop takes
+	Reclaim    clock.Millis // within which guaranteed work begins
 }
 
 // DefaultSettings suit a worker that takes leases of 6 s.
 func DefaultSettings() Settings {
-	return Settings{Hold: 5500, StaleGrant: 8 * clock.Second, KeepEnded: 180 * clock.Second, StartWait: 1500}
+	return Settings{Hold: 5500, StaleGrant: 8 * clock.Second, KeepEnded: 180 * clock.Second, StartWait: 1500, StopTime: 900, Reclaim: 2700}
 }
 
 // Planner decides. Set the exported fields before the first Update, and call
@@ -110,6 +112,7 @@
 	for _, w := range p.workers {
 		p.checkLease(w)
 		p.resend(w)
+		p.checkYields(w)
 	}
 	for _, j := range p.jobs {
 		p.checkDue(j)
--- a/core/plan/unit.go
+++ b/core/plan/unit.go
@@ -41,6 +41,7 @@
 	since   clock.Millis // when the run was confirmed
 	avoid   task.Life    // where it failed last
 	booked  *worker      // where room is being made for it
+	yields  clock.Millis // when its room is expected for another task, 0 if not
 }
 
 // startTries is how often a start without an answer is sent.
@@ -48,7 +49,7 @@
 
 func (u *unit) occupy(w *worker, ph phase) {
 	u.at, u.phase = w, ph
-	u.tries, u.doubt, u.answer, u.asked, u.percent, u.since = 0, false, 0, 0, 0, 0
+	u.tries, u.doubt, u.answer, u.asked, u.percent, u.since, u.yields = 0, false, 0, 0, 0, 0, 0
 	w.units[u] = true
 	w.used = w.used.Plus(u.need())
 }
--- a/io/front/front.go
+++ b/io/front/front.go
@@ -23,14 +23,18 @@
 	refusals = 3
 	// readTime bounds the look at the store for a job that is not in the mirror.
 	readTime = 1200 * clock.Millisecond
-	// comeBack is when a caller may try again after the store refused.
-	comeBack = clock.Second
+	// comeBack is when a caller may try again after the store refused; in a long
+	// outage it is as long as the outage has lasted, up to longestBack.
+	comeBack    = clock.Second
+	longestBack = 4 * clock.Second
 )
 
 // Front answers callers. Set the exported fields before use.
 type Front struct {
 	Store store.Keeper
 	Index *Index
+	// Heard is when the store last answered, on the steady clock.
+	Heard func() clock.Millis
 	Clock clock.Clock
 	Log   *slog.Logger
 }
@@ -59,7 +63,7 @@
 		Put: []store.Item{{Key: key, Value: raw}},
 	}, refusals)
 	if err != nil {
-		err = fault.Of(err).WithRetry(spread(comeBack))
+		err = fault.Of(err).WithRetry(f.comeBack())
 		f.Log.Warn("job_not_accepted", "job", j.ID, "queue", q.Name, "account", account, "error", err, "outcome", fault.Of(err).Outcome)
 		return err
 	}
@@ -67,6 +71,12 @@
 	return nil
 }
 
+// comeBack is when a caller should try again while the store is out.
+func (f *Front) comeBack() clock.Millis {
+	out := f.Clock.Steady() - f.Heard()
+	return spread(min(max(comeBack, out), longestBack))
+}
+
 // spread draws a time around t, so that callers don't return in one wave.
 func spread(t clock.Millis) clock.Millis {
 	return t/2 + rand.N(t)
@@ -102,7 +112,7 @@
 	_, ok, err := f.Store.Get(ctx, store.JobKey(id))
 	if err != nil {
 		f.Log.Warn("job_unread", "job", id, "error", err)
-		return "", fault.Of(err).WithRetry(spread(comeBack))
+		return "", fault.Of(err).WithRetry(f.comeBack())
 	}
 	if !ok {
 		return "", fault.New(fault.NotFound, "check the id, and submit the job if it never was", "no job %s", id)
