--- a/cmd/gypsumcrank/platform.go
+++ b/cmd/gypsumcrank/platform.go
@@ -91,7 +91,7 @@
 		Node: set.Node, Addr: set.Link, Store: d.keeper, Mirror: d.jobs, Index: d.index, Config: d.config, Plan: planSettings(set), Log: log,
 		Relay: func(c *link.Conn, first link.Call) { relay.Serve(c, direct, first) },
 	}
-	d.ingress = &platform.Ingress{Config: d.config, Front: &front.Front{Store: d.keeper, Index: d.index, Heard: d.jobs.Heard, Log: log}}
+	d.ingress = &platform.Ingress{Config: d.config, Front: &front.Front{Store: d.keeper, Index: d.index, Out: d.relay.Out, Heard: d.jobs.Heard, Log: log}}
 	return d
 }
 
--- a/io/front/front.go
+++ b/io/front/front.go
@@ -33,6 +33,8 @@
 type Front struct {
 	Store store.Keeper
 	Index *Index
+	// Out tells whether the store is known to be out of reach.
+	Out func() bool
 	// Heard is when the store last answered, on the steady clock.
 	Heard func() clock.Millis
 	Clock clock.Clock
@@ -51,6 +53,9 @@
 	if err := j.Check(); err != nil {
 		return err
 	}
+	if err := f.refuseWhenOut("submit", j.ID); err != nil {
+		return err
+	}
 	raw, err := task.Encode(j)
 	if err != nil {
 		return err
@@ -71,6 +76,17 @@
 	return nil
 }
 
+// refuseWhenOut sends a caller away at once while no write could be stored.
+// Nothing was sent, so the refusal is certain.
+func (f *Front) refuseWhenOut(what, id string) error {
+	if !f.Out() {
+		return nil
+	}
+	back := f.comeBack()
+	f.Log.Warn("refused_store_out", "call", what, "job", id, "heard_before", f.Clock.Steady()-f.Heard(), "retry_after", back)
+	return fault.New(fault.StoreOut, "come back after the given time", "the store is out of reach").WithOutcome(fault.NotRun).WithRetry(back)
+}
+
 // comeBack is when a caller should try again while the store is out.
 func (f *Front) comeBack() clock.Millis {
 	out := f.Clock.Steady() - f.Heard()
@@ -91,6 +107,9 @@
 	if s.Ended() {
 		return nil
 	}
+	if err := f.refuseWhenOut("cancel", id); err != nil {
+		return err
+	}
 	ctx, cancel := context.WithTimeout(ctx, doubtTime.Duration())
 	defer cancel()
 	key := store.CancelKey(id)
--- a/io/relay/keeper.go
+++ b/io/relay/keeper.go
@@ -40,7 +40,11 @@
 }
 
 func (r *Relay) call(ctx context.Context, c link.Call) (link.Reply, error) {
-	return r.do(ctx, c, func() (link.Reply, error) { return Direct(ctx, r.Direct, c) })
+	reply, err := r.do(ctx, c, func() (link.Reply, error) { return Direct(ctx, r.Direct, c) })
+	if ctx.Err() == nil || err == nil {
+		r.mark(err)
+	}
+	return reply, err
 }
 
 // Get reads one key.
--- a/io/relay/relay.go
+++ b/io/relay/relay.go
@@ -44,7 +44,9 @@
 
 	mu     sync.Mutex
 	around bool
-	last   string // the peer that served last
+	worked clock.Millis // when a call was last answered, on the steady clock
+	failed clock.Millis // when one last was not
+	last   string       // the peer that served last
 	conns  map[string]*peer
 	cancel context.CancelFunc
 	ended  chan struct{}
@@ -88,11 +90,34 @@
 		_, _, err := r.Direct.Get(call, store.PlannerKey)
 		cancel()
 		if err == nil {
+			r.mark(nil)
 			r.avoid(false, nil)
 		}
 	}
 }
 
+// outAfter is how long no call may have worked for the store to count as out.
+const outAfter = clock.Second
+
+// Out tells whether the store is known to be out of reach on all ways, so that
+// a call would only wait.
+func (r *Relay) Out() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.failed > r.worked && clock.System().Steady()-r.worked > outAfter
+}
+
+// mark remembers how a call went.
+func (r *Relay) mark(err error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if err == nil || !fault.Is(err, fault.StoreOut) {
+		r.worked = clock.System().Steady()
+	} else {
+		r.failed = clock.System().Steady()
+	}
+}
+
 func (r *Relay) avoiding() bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
