--- /dev/null
+++ b/cmd/gypsumcrank/platform_test.go
@@ -0,0 +1,382 @@
+package main
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/rogpeppe/go-internal/testscript"
+
+	"gypsumcrank/internal/standin/plat"
+	"gypsumcrank/platform"
+)
+
+// TestPlatformScenarios runs the scripts in testdata/platform: fronts and
+// sides as processes, around stand-ins of the platform's store and executors.
+func TestPlatformScenarios(t *testing.T) {
+	testscript.Run(t, testscript.Params{
+		Dir: "testdata/platform",
+		Cmds: map[string]func(ts *testscript.TestScript, neg bool, args []string){
+			"platform": siteCmd((*site).start),
+			"submit":   siteCmd((*site).submit),
+			"cancel":   siteCmd((*site).cancel),
+			"shown":    siteCmd((*site).shown),
+			"once":     siteCmd((*site).once),
+			"signal":   siteCmd((*site).signal),
+			"restart":  siteCmd((*site).restart),
+			"store":    siteCmd((*site).setStore),
+			"runs":     siteCmd((*site).runs),
+			"log":      siteCmd((*site).log),
+		},
+		Setup: func(env *testscript.Env) error {
+			s := &site{dir: env.WorkDir, procs: make(map[string]*daemon), execs: make(map[string]*plat.Executor)}
+			env.Values[siteKey{}] = s
+			env.Defer(s.close)
+			return nil
+		},
+	})
+}
+
+type siteKey struct{}
+
+func siteCmd(f func(*site, []string) error) func(*testscript.TestScript, bool, []string) {
+	return func(ts *testscript.TestScript, _ bool, args []string) {
+		ts.Check(f(ts.Value(siteKey{}).(*site), args))
+	}
+}
+
+// site is a small installation of the platform.
+type site struct {
+	dir    string
+	store  *plat.Store
+	addr   string // of the store
+	procs  map[string]*daemon
+	fronts []string
+	execs  map[string]*plat.Executor
+	ports  []int
+	ends   []func()
+}
+
+// daemon is one process of the system.
+type daemon struct {
+	role  string
+	path  string // of its settings
+	cmd   *exec.Cmd
+	addr  string // where callers, or its executor, connect
+	ready string
+	out   *syncBuffer
+}
+
+// syncBuffer keeps what a process writes.
+type syncBuffer struct {
+	mu  sync.Mutex
+	buf bytes.Buffer
+}
+
+func (b *syncBuffer) Write(p []byte) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.buf.Write(p)
+}
+
+func (b *syncBuffer) String() string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.buf.String()
+}
+
+// start brings up FRONTS fronts and SIDES sides whose tasks take MS each.
+func (s *site) start(args []string) error {
+	fronts, _ := strconv.Atoi(args[0])
+	sides, _ := strconv.Atoi(args[1])
+	ms, _ := strconv.Atoi(args[2])
+	s.store = plat.NewStore()
+	srv := httptest.NewServer(s.store)
+	s.ends = append(s.ends, srv.CloseClientConnections)
+	s.addr = strings.TrimPrefix(srv.URL, "http://")
+	s.store.Put(platform.ConfigKey, []byte(`{"version":3,"routes":[{"name":"q","host":"jobs.example","prefix":"/q/","service":"svc","max_attempts":2,"stretch":3}],
+		"services":[{"name":"svc"}],"tenants":[{"name":"acme","api_keys":["k1"],"guaranteed":{"gpu":8}}]}`))
+	for i := range fronts {
+		if err := s.addProcess("front", i); err != nil {
+			return err
+		}
+	}
+	for i := range sides {
+		if err := s.addSide(i, time.Duration(ms)*time.Millisecond); err != nil {
+			return err
+		}
+	}
+	return s.await(10, "fronts ready", func() bool {
+		for _, f := range s.fronts {
+			resp, err := http.Get("http://" + s.procs[f].ready + platform.ReadyPath)
+			if err != nil || resp.StatusCode != 200 {
+				return false
+			}
+			resp.Body.Close()
+		}
+		return true
+	})
+}
+
+func (s *site) addSide(i int, takes time.Duration) error {
+	e := plat.NewExecutor(fmt.Sprintf("i-%d", i), "svc", fmt.Sprintf("r%d", i/2), takes)
+	srv := httptest.NewServer(e)
+	s.ends = append(s.ends, srv.CloseClientConnections)
+	name := fmt.Sprintf("side-%d", i)
+	s.execs[name] = e
+	if err := s.addProcessWith("side", i, strings.TrimPrefix(srv.URL, "http://")); err != nil {
+		return err
+	}
+	stop := make(chan struct{})
+	s.ends = append(s.ends, func() { close(stop) })
+	go func() {
+		for {
+			// A side that is down takes no heartbeat; the next one may.
+			_, _ = e.Beat(s.procs[name].addr, "ready")
+			select {
+			case <-stop:
+				return
+			case <-time.After(300 * time.Millisecond):
+			}
+		}
+	}()
+	return nil
+}
+
+func (s *site) addProcess(role string, i int) error { return s.addProcessWith(role, i, "") }
+
+func (s *site) addProcessWith(role string, i int, app string) error {
+	name := fmt.Sprintf("%s-%d", role, i)
+	addr, link, ready := freePort(), freePort(), freePort()
+	listen := map[string]string{"control": addr}
+	if role == "front" {
+		listen = map[string]string{"front": addr, "ready": ready}
+	}
+	_, linkPort, err := net.SplitHostPort(link)
+	if err != nil {
+		return err
+	}
+	port, err := strconv.Atoi(linkPort)
+	if err != nil {
+		return err
+	}
+	raw, err := json.Marshal(map[string]any{
+		"node_name": name, "ip": "127.0.0.1", "listen_addrs": listen, "port_range": []int{port, port}, "app": app,
+		"platform": map[string]string{"address": s.addr}, "limits": map[string]int{"memory_mb": 200},
+		"bounds": map[string]any{"grace_s": 6, "hold_max_ms": 6000, "status_s": 120, "stop_ms": 200, "reclaim_ms": 2700},
+	})
+	if err != nil {
+		return err
+	}
+	d := &daemon{role: role, path: filepath.Join(s.dir, name+".json"), addr: addr, ready: ready, out: &syncBuffer{}}
+	if err := os.WriteFile(d.path, raw, 0o600); err != nil {
+		return err
+	}
+	s.procs[name] = d
+	if role == "front" {
+		s.fronts = append(s.fronts, name)
+	}
+	return d.run()
+}
+
+func (d *daemon) run() error {
+	d.cmd = exec.Command("gypsumcrank", d.role)
+	d.cmd.Env = append(os.Environ(), platform.SettingsVar+"="+d.path)
+	d.cmd.Stdout, d.cmd.Stderr = d.out, d.out
+	return d.cmd.Start()
+}
+
+func (s *site) close() {
+	for _, d := range s.procs {
+		_ = d.cmd.Process.Kill()
+		_ = d.cmd.Wait()
+	}
+	for _, end := range s.ends {
+		end()
+	}
+}
+
+// await polls until ok, for SECONDS at most.
+func (s *site) await(seconds float64, what string, ok func() bool) error {
+	for end := time.Now().Add(time.Duration(seconds * float64(time.Second))); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
+		if ok() {
+			return nil
+		}
+	}
+	var logs strings.Builder
+	for name, d := range s.procs {
+		fmt.Fprintf(&logs, "== %s\n%s", name, d.out.String())
+	}
+	return fmt.Errorf("not within %.1f s: %s\n%s", seconds, what, logs.String())
+}
+
+// call has any front that answers serve a request.
+func (s *site) call(method, path, body string) (status int, answer string) {
+	for _, f := range s.fronts {
+		req, err := http.NewRequest(method, "http://"+s.procs[f].addr+path, strings.NewReader(body))
+		if err != nil {
+			return 0, err.Error()
+		}
+		req.Host = "jobs.example"
+		req.Header.Set("Authorization", "Bearer k1")
+		client := http.Client{Timeout: 3 * time.Second}
+		resp, err := client.Do(req)
+		if err != nil {
+			answer = err.Error()
+			continue
+		}
+		raw, _ := io.ReadAll(resp.Body)
+		resp.Body.Close()
+		return resp.StatusCode, string(raw)
+	}
+	return 0, answer
+}
+
+// submit ID TASKS ACCELERATORS [gang]: submits until it is accepted.
+func (s *site) submit(args []string) error {
+	gang := len(args) > 3
+	body := fmt.Sprintf(`{"task_spec":"x","steps":[{"count":%s,"cpu":1000,"mem_mb":100,"gpu":%s,"estimate_ms":1000,"gang":%v}]}`, args[1], args[2], gang)
+	return s.await(15, "accepted "+args[0], func() bool {
+		status, _ := s.call("POST", "/q/"+args[0], body)
+		return status == 200
+	})
+}
+
+// cancel ID: cancels a job.
+func (s *site) cancel(args []string) error {
+	return s.await(10, "cancelled "+args[0], func() bool {
+		status, _ := s.call("DELETE", "/q/"+args[0], "")
+		return status == 200
+	})
+}
+
+// shown ID STATE SECONDS: the job is shown in a state in time.
+func (s *site) shown(args []string) error {
+	seconds, _ := strconv.ParseFloat(args[2], 64)
+	return s.await(seconds, strings.Join(args, " "), func() bool {
+		_, answer := s.call("GET", "/q/"+args[0], "")
+		return strings.Contains(answer, `"`+args[1]+`"`)
+	})
+}
+
+// once ID: no task of the job ended done more than once.
+func (s *site) once(args []string) error {
+	count := make(map[string]int)
+	for _, e := range s.execs {
+		for task, n := range e.Done() {
+			count[task] += n
+		}
+	}
+	for task, n := range count {
+		if strings.HasPrefix(task, args[0]) && n != 1 {
+			return fmt.Errorf("%s was done %d times", task, n)
+		}
+	}
+	return nil
+}
+
+// runs ID COUNT SECONDS: so many tasks of the job run, at some moment in time.
+func (s *site) runs(args []string) error {
+	want, _ := strconv.Atoi(args[1])
+	seconds, _ := strconv.ParseFloat(args[2], 64)
+	return s.await(seconds, "runs "+strings.Join(args, " "), func() bool {
+		n := 0
+		for _, e := range s.execs {
+			for _, task := range e.Running() {
+				if strings.HasPrefix(task, args[0]) {
+					n++
+				}
+			}
+		}
+		return n == want
+	})
+}
+
+// planner is the front that was elected last.
+func (s *site) planner() string {
+	best, at := "", ""
+	for _, f := range s.fronts {
+		for _, line := range strings.Split(s.procs[f].out.String(), "\n") {
+			if strings.Contains(line, "msg=planner_elected") && line > at {
+				best, at = f, line
+			}
+		}
+	}
+	return best
+}
+
+func (s *site) named(name string) (*daemon, error) {
+	if name == "planner" {
+		name = s.planner()
+	}
+	d := s.procs[name]
+	if d == nil {
+		return nil, fmt.Errorf("no process %q", name)
+	}
+	return d, nil
+}
+
+var signals = map[string]syscall.Signal{
+	"kill": syscall.SIGKILL, "term": syscall.SIGTERM, "hup": syscall.SIGHUP, "stop": syscall.SIGSTOP, "cont": syscall.SIGCONT,
+}
+
+// signal NAME|planner SIGNAL.
+func (s *site) signal(args []string) error {
+	d, err := s.named(args[0])
+	if err != nil {
+		return err
+	}
+	return d.cmd.Process.Signal(signals[args[1]])
+}
+
+// restart NAME: waits for a process to end and starts it again.
+func (s *site) restart(args []string) error {
+	d, err := s.named(args[0])
+	if err != nil {
+		return err
+	}
+	_ = d.cmd.Wait()
+	return d.run()
+}
+
+// store none|busy|silent|lost|forget.
+func (s *site) setStore(args []string) error {
+	switch args[0] {
+	case "none":
+		s.store.SetFault(plat.None)
+	case "busy":
+		s.store.SetFault(plat.Busy)
+	case "silent":
+		s.store.SetFault(plat.Silent)
+	case "lost":
+		s.store.SetFault(plat.Lost)
+	case "forget":
+		s.store.Forget()
+	default:
+		return fmt.Errorf("no fault %q", args[0])
+	}
+	return nil
+}
+
+// log NAME TEXT SECONDS: a process writes a line with the text.
+func (s *site) log(args []string) error {
+	d, err := s.named(args[0])
+	if err != nil {
+		return err
+	}
+	seconds, _ := strconv.ParseFloat(args[2], 64)
+	return s.await(seconds, "log "+strings.Join(args, " "), func() bool { return strings.Contains(d.out.String(), args[1]) })
+}
