--- a/cmd/gypsumcrank/main.go
+++ b/cmd/gypsumcrank/main.go
@@ -4,12 +4,14 @@
 
 import (
 	"fmt"
+	"io"
 	"log/slog"
 	"os"
 
 	"github.com/alecthomas/kong"
 
 	"gypsumcrank/core/fault"
+	"gypsumcrank/io/logs"
 )
 
 // version is the program's version.
@@ -45,14 +47,26 @@
 	Level string `enum:"debug,info,warn,error" default:"info" help:"Least level of log lines: debug, info, warn or error."`
 }
 
-func (l logFlags) logger() *slog.Logger {
+// logger writes to out at the chosen level.
+func (l logFlags) logger(out io.Writer) *slog.Logger {
 	var level slog.Level
-	_ = level.UnmarshalText([]byte(l.Level))
-	log := slog.New(slog.NewTextHandler(os.Stdout, &slog.HandlerOptions{Level: level}))
+	_ = level.UnmarshalText([]byte(l.Level)) // kong lets only known levels through
+	log := slog.New(slog.NewTextHandler(out, &slog.HandlerOptions{Level: level}))
 	slog.SetDefault(log)
 	return log
 }
 
+// logOutput is where a command logs: the platform's daemons on standard output,
+// which never blocks them, all else on standard error.
+func logOutput(command string) (out io.Writer, flush func()) {
+	if command != "front" && command != "side" {
+		return os.Stderr, func() {}
+	}
+	w := &logs.Writer{Out: os.Stdout}
+	w.Start()
+	return w, w.Close
+}
+
 func main() { os.Exit(run(os.Args[1:])) }
 
 func run(args []string) int {
@@ -71,7 +85,9 @@
 	if err != nil {
 		return report(err, exitSetting)
 	}
-	if err := ctx.Run(c.Log.logger()); err != nil {
+	out, flush := logOutput(ctx.Command())
+	defer flush()
+	if err := ctx.Run(c.Log.logger(out)); err != nil {
 		code := exitFailed
 		if fault.Is(err, fault.Invalid) {
 			code = exitSetting
--- a/cmd/gypsumcrank/platform.go
+++ b/cmd/gypsumcrank/platform.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"bytes"
 	"context"
 	"log/slog"
 	"runtime"
@@ -16,6 +17,7 @@
 	"gypsumcrank/io/front"
 	"gypsumcrank/io/httpd"
 	"gypsumcrank/io/link"
+	"gypsumcrank/io/meter"
 	"gypsumcrank/io/mirror"
 	"gypsumcrank/io/relay"
 	"gypsumcrank/io/side"
@@ -49,7 +51,12 @@
 	}
 }
 
-type frontCmd struct{}
+// platformFlags are the settings that the platform's file does not have.
+type platformFlags struct {
+	MetricsListen string `help:"IP and port for metrics as text, at /metrics; none if empty."`
+}
+
+type frontCmd struct{ platformFlags }
 
 // Run serves callers, and plans when elected, until SIGTERM.
 func (c *frontCmd) Run(log *slog.Logger) error {
@@ -57,10 +64,14 @@
 	if err != nil {
 		return err
 	}
+	if err := checkAddr("metrics-listen", c.MetricsListen); err != nil {
+		return err
+	}
 	limitRuntime(set.MemoryMB)
 	ctx, stop := untilSignal()
 	defer stop()
 	f := newFrontDaemon(set, log.With("process", set.Node))
+	f.metrics = c.MetricsListen
 	return f.run(ctx)
 }
 
@@ -77,6 +88,7 @@
 	steer   *steer.Steer
 	ingress *platform.Ingress
 	leaving atomic.Bool
+	metrics string // where metrics are shown
 }
 
 func newFrontDaemon(set platform.Settings, log *slog.Logger) *frontDaemon {
@@ -127,6 +139,7 @@
 	ready.Handle("GET", platform.ReadyPath, d.ready)
 	k.Add("ready", ready)
 	k.Add("steer", d.steer)
+	addMetrics(k, d.metrics, d.log)
 	serving, end := context.WithCancel(context.Background())
 	defer end()
 	go d.runRegister(serving)
@@ -203,7 +216,7 @@
 	r.Text(200, "ready")
 }
 
-type sideCmd struct{}
+type sideCmd struct{ platformFlags }
 
 // Run serves the endpoint of this host until SIGTERM.
 func (c *sideCmd) Run(log *slog.Logger) error {
@@ -224,7 +237,25 @@
 	k := &kern.Kernel{Log: log}
 	k.Add("side", s)
 	k.Add("beats", beats)
+	addMetrics(k, c.MetricsListen, log)
 	err = k.Run(ctx)
 	log.Info("process_stop", "error", err)
 	return err
 }
+
+// addMetrics shows the process's metrics as text, where an address is given.
+func addMetrics(k *kern.Kernel, addr string, log *slog.Logger) {
+	if addr == "" {
+		return
+	}
+	srv := &httpd.Server{Addr: addr, Log: log}
+	srv.Handle("GET", "/metrics", func(_ context.Context, r *httpd.Request) {
+		var b bytes.Buffer
+		if err := meter.Write(&b); err != nil {
+			r.Problem(err)
+			return
+		}
+		r.Send(200, "text/plain; charset=utf-8", b.Bytes())
+	})
+	k.Add("metrics", srv)
+}
--- /dev/null
+++ b/core/plan/census.go
@@ -0,0 +1,24 @@
+package plan
+
+// CensusKey sorts tasks for the metrics.
+type CensusKey struct {
+	Account  string
+	Priority int
+	Phase    string
+}
+
+var phaseNames = [...]string{idle: "waiting", intended: "recording", starting: "starting", running: "running", stopping: "stopping", unsure: "in_doubt"}
+
+// Census counts the tasks that are not done, by account, priority and phase.
+func (p *Planner) Census() map[CensusKey]int {
+	out := make(map[CensusKey]int)
+	for _, j := range p.jobs {
+		for _, u := range j.units {
+			if u.at == nil && (u.done || j.state.Ended()) {
+				continue
+			}
+			out[CensusKey{j.Account, j.Priority, phaseNames[u.phase]}]++
+		}
+	}
+	return out
+}
--- a/core/plan/job.go
+++ b/core/plan/job.go
@@ -173,7 +173,7 @@
 func (p *Planner) endJob(j *job, s task.State, reason string) {
 	j.state, j.reason, j.ended = s, reason, p.now.Wall
 	p.touch(j)
-	p.note(Note{Kind: "job_ended", Job: j.ID, Detail: fmt.Sprintf("%s: %s", s, reason)})
+	p.note(Note{Kind: "job_ended", Job: j.ID, Wait: p.now.Steady - j.added, Detail: fmt.Sprintf("%s: %s", s, reason)})
 	for _, u := range j.units {
 		p.stop(u)
 	}
--- a/core/plan/msg.go
+++ b/core/plan/msg.go
@@ -169,5 +169,6 @@
 	Task   string
 	Worker string
 	Run    int
+	Wait   clock.Millis // how long it took, where that matters
 	Detail string
 }
--- a/core/plan/unit.go
+++ b/core/plan/unit.go
@@ -1,6 +1,8 @@
 package plan
 
 import (
+	"fmt"
+
 	"gypsumcrank/core/clock"
 	"gypsumcrank/core/task"
 )
@@ -81,7 +83,10 @@
 	u.run = run
 	u.occupy(w, intended)
 	u.job.after = append(u.job.after, effect{start: u, run: run})
-	u.job.begun = true
+	if !u.job.begun {
+		u.job.begun = true
+		p.note(Note{Kind: "job_begun", Job: u.job.ID, Wait: p.now.Steady - u.job.added, Detail: fmt.Sprintf("priority=%d", u.job.Priority)})
+	}
 	if u.job.state == task.Queued {
 		u.job.state = task.Running
 	}
--- a/io/steer/term.go
+++ b/io/steer/term.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strconv"
 	"sync/atomic"
 	"time"
 
@@ -11,21 +12,23 @@
 	"gypsumcrank/core/plan"
 	"gypsumcrank/core/task"
 	"gypsumcrank/io/link"
+	"gypsumcrank/io/meter"
 	"gypsumcrank/io/store"
 )
 
 // term is one time as the planner. Its state belongs to the loop's goroutine.
 type term struct {
-	steer   *Steer
-	epoch   int64
-	lease   int64
-	valid   clock.Millis // the lease surely holds until then, on the steady clock
-	loop    *kern.Loop
-	planner *plan.Planner
-	conns   map[string]*link.Conn
-	over    chan string
-	closing atomic.Bool
-	doubted bool
+	steer    *Steer
+	epoch    int64
+	lease    int64
+	valid    clock.Millis // the lease surely holds until then, on the steady clock
+	loop     *kern.Loop
+	planner  *plan.Planner
+	conns    map[string]*link.Conn
+	over     chan string
+	closing  atomic.Bool
+	doubted  bool
+	measured clock.Millis
 }
 
 type connMsg struct {
@@ -150,10 +153,26 @@
 		msg = plan.LinkMsg{Node: m.node}
 	case plan.TickMsg:
 		t.checkLease(now.Steady)
+		t.measure(now.Steady)
 	}
 	return t.carryOut(now, t.planner.Update(now, msg))
 }
 
+// measureEvery is how often the queue's gauges are set.
+const measureEvery = clock.Second
+
+// measure shows how many tasks wait, run and are in doubt.
+func (t *term) measure(now clock.Millis) {
+	if now-t.measured < measureEvery {
+		return
+	}
+	t.measured = now
+	meter.ClearGauge("tasks")
+	for key, n := range t.planner.Census() {
+		meter.Gauge("tasks", int64(n), key.Account, "priority_"+strconv.Itoa(key.Priority), key.Phase)
+	}
+}
+
 // checkLease pauses starts while the lease may have run out, and tells the
 // sides to look for another planner.
 func (t *term) checkLease(now clock.Millis) {
@@ -197,12 +216,19 @@
 }
 
 func (t *term) log(n plan.Note) {
+	meter.Count("planner_decisions", 1, n.Kind)
+	if n.Wait > 0 {
+		meter.Observe(n.Kind, n.Wait)
+	}
 	attrs := []any{"epoch", t.epoch}
 	for _, a := range []struct{ k, v string }{{"job", n.Job}, {"task", n.Task}, {"worker", n.Worker}, {"detail", n.Detail}} {
 		if a.v != "" {
 			attrs = append(attrs, a.k, a.v)
 		}
 	}
+	if n.Wait > 0 {
+		attrs = append(attrs, "wait", n.Wait)
+	}
 	if n.Run > 0 {
 		attrs = append(attrs, "run", n.Run)
 	}
