--- a/cmd/gypsumcrank/main.go
+++ b/cmd/gypsumcrank/main.go
@@ -59,7 +59,7 @@
 // logOutput is where a command logs: the platform's daemons on standard output,
 // which never blocks them, all else on standard error.
 func logOutput(command string) (out io.Writer, flush func()) {
-	if command != "front" && command != "side" {
+	if !isDaemon(command) {
 		return os.Stderr, func() {}
 	}
 	w := &logs.Writer{Out: os.Stdout}
@@ -67,7 +67,15 @@
 	return w, w.Close
 }
 
-func main() { os.Exit(run(os.Args[1:])) }
+func main() {
+	if len(os.Args) > 1 && isDaemon(os.Args[1]) {
+		catchHups()
+	}
+	os.Exit(run(os.Args[1:]))
+}
+
+// isDaemon tells whether a command is one of the platform's daemons.
+func isDaemon(command string) bool { return command == "front" || command == "side" }
 
 func run(args []string) int {
 	var c commands
--- a/cmd/gypsumcrank/platform_test.go
+++ b/cmd/gypsumcrank/platform_test.go
@@ -320,6 +320,9 @@
 
 func (s *site) named(name string) (*daemon, error) {
 	if name == "planner" {
+		if err := s.await(10, "a planner", func() bool { return s.planner() != "" }); err != nil {
+			return nil, err
+		}
 		name = s.planner()
 	}
 	d := s.procs[name]
--- a/cmd/gypsumcrank/reload.go
+++ b/cmd/gypsumcrank/reload.go
@@ -15,6 +15,13 @@
 // force, as it may change without a signal.
 const settingsLook = 2 * time.Second
 
+// hups receives SIGHUP, which would end a process that does not wait for it.
+var hups = make(chan os.Signal, 1)
+
+// catchHups is called first of all in the platform's daemons, as the signal
+// may come at any moment of their life.
+func catchHups() { signal.Notify(hups, syscall.SIGHUP) }
+
 // reloader keeps a process's settings up to date.
 type reloader struct {
 	current platform.Settings
@@ -25,16 +32,13 @@
 
 // run reads the settings again on SIGHUP, and now and then.
 func (r *reloader) run(ctx context.Context) {
-	hup := make(chan os.Signal, 1)
-	signal.Notify(hup, syscall.SIGHUP)
-	defer signal.Stop(hup)
 	tick := time.NewTicker(settingsLook)
 	defer tick.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return
-		case <-hup:
+		case <-hups:
 			r.reload(true)
 		case <-tick.C:
 			r.reload(false)
