--- /dev/null
+++ b/cmd/gypsumcrank/logs.go
@@ -0,0 +1,55 @@
+package main
+
+import (
+	"fmt"
+	"io"
+	"os"
+
+	"gypsumcrank/core/event"
+	"gypsumcrank/core/fault"
+)
+
+// readLogs reads the log files of any processes; "-" is standard input.
+func readLogs(paths []string) ([]event.Event, error) {
+	var lines [][]event.Event
+	for i, path := range paths {
+		events, err := readLog(path)
+		if err != nil {
+			return nil, fault.New(fault.Invalid, "name files of log lines, or - for standard input", "%s: %v", path, err)
+		}
+		for j := range events {
+			events[j].Seq += int64(i) << 32 // two files may have a line of the same number
+		}
+		lines = append(lines, events)
+	}
+	return event.Merge(lines...), nil
+}
+
+func readLog(path string) ([]event.Event, error) {
+	if path == "-" {
+		return event.ReadLogs(os.Stdin)
+	}
+	f, err := os.Open(path)
+	if err != nil {
+		return nil, err
+	}
+	defer f.Close()
+	return event.ReadLogs(f)
+}
+
+// explain tells one job's story from the logs.
+func explain(w io.Writer, job string, events []event.Event) error {
+	story := event.Select(events, event.Query{Job: job})
+	if len(story) == 0 {
+		return fault.New(fault.NotFound, "give the logs of all fronts, also of the time before", "the logs say nothing about %s", job)
+	}
+	first := story[0].At
+	for _, e := range story {
+		if _, err := fmt.Fprintf(w, "%+9.3fs %-22s %-18s %s\n", (e.At - first).Duration().Seconds(), e.Process, e.Kind, e.Detail); err != nil {
+			return err
+		}
+	}
+	last := story[len(story)-1]
+	_, err := fmt.Fprintf(w, "%d events in %s; last: %s\n", len(story), last.At-first, last.Kind)
+	return err
+}
--- a/cmd/gypsumcrank/main.go
+++ b/cmd/gypsumcrank/main.go
@@ -40,6 +40,7 @@
 	Drain    drainCmd    `cmd:"" help:"Have an agent take no new work, or take it again."`
 	Timeline timelineCmd `cmd:"" help:"Show the events of all processes in order."`
 	Keys     keysCmd     `cmd:"" help:"Make keys, certificates and tokens."`
+	Settings settingsCmd `cmd:"" help:"Look after settings files."`
 	Replay   replayCmd   `cmd:"" help:"Feed a recorded trace through the decisions and show what they lead to."`
 }
 
--- a/cmd/gypsumcrank/operator.go
+++ b/cmd/gypsumcrank/operator.go
@@ -123,11 +123,19 @@
 
 type explainCmd struct {
 	operatorFlags
-	Job string `arg:"" help:"Id of the job."`
+	Job  string   `arg:"" help:"Id of the job."`
+	Logs []string `help:"Tell it from these log files instead of asking an entry; - is standard input."`
 }
 
 // Run prints the job's story.
 func (c *explainCmd) Run() error {
+	if len(c.Logs) > 0 {
+		events, err := readLogs(c.Logs)
+		if err != nil {
+			return err
+		}
+		return explain(os.Stdout, c.Job, events)
+	}
 	text, err := c.client().Explain(context.Background(), c.Job)
 	fmt.Print(text)
 	return err
@@ -154,11 +162,21 @@
 	Job   string        `help:"Only the events of this job or request."`
 	Since time.Duration `default:"10m" help:"How far to look back."`
 	JSON  bool          `help:"Print JSON lines."`
+	Logs  []string      `help:"Read these log files instead of asking an entry; - is standard input."`
+}
+
+// events come from log files, or from the entries.
+func (c *timelineCmd) events() ([]event.Event, error) {
+	if len(c.Logs) == 0 {
+		return c.client().Events(context.Background(), event.Query{Job: c.Job, Since: admin.Since(c.Since)})
+	}
+	all, err := readLogs(c.Logs)
+	return event.Select(all, event.Query{Job: c.Job}), err
 }
 
 // Run prints the merged events, oldest first.
 func (c *timelineCmd) Run() error {
-	events, err := c.client().Events(context.Background(), event.Query{Job: c.Job, Since: admin.Since(c.Since)})
+	events, err := c.events()
 	if err != nil {
 		return err
 	}
--- a/core/plan/evict.go
+++ b/core/plan/evict.go
@@ -40,7 +40,7 @@
 
 // evictable tells whether an ask may stop a task.
 func (p *Planner) evictable(b *board, a *ask, u *unit) bool {
-	if b.evicted[u] || u.done || u.phase == stopping || u.phase == unsure || u.job == a.job() {
+	if b.evicted[u] || u.done || u.step.Service || u.phase == stopping || u.phase == unsure || u.job == a.job() {
 		return false
 	}
 	if u.job.Priority > 0 {
--- a/core/plan/plan_test.go
+++ b/core/plan/plan_test.go
@@ -136,3 +136,61 @@
 		f.takeOver()
 	}
 }
+
+func TestAServiceTaskIsStartedAgainHoweverItEnds(t *testing.T) {
+	f := newFleet(t, 2, 2, room)
+	j := oneTask("a", 1)
+	j.Steps[0].Service = true
+	f.fails = func(_ task.Name, run int, _ *host) bool { return run%2 == 1 }
+	f.submit(j)
+	f.run(20_000)
+	c := qt.New(t)
+	c.Check(f.records["a"].State, qt.Equals, task.Running)
+	c.Check(f.records["a"].Marks[0].Run > 4, qt.IsTrue)
+	f.ended, f.done = map[string]bool{}, map[string]bool{}
+	f.cancel("a")
+	f.run(1000)
+	c.Check(f.records["a"].State, qt.Equals, task.Cancelled)
+}
+
+func TestOccurrencesStartWhenTheyAreDue(t *testing.T) {
+	f := newFleet(t, 1, 1, room)
+	j := oneTask("a", 1)
+	j.Repeat, j.First, j.Interval = 3, f.now+2000, 3000
+	f.submit(j)
+	f.run(1900)
+	c := qt.New(t)
+	c.Check(f.records["a"] == nil || !f.records["a"].Begun, qt.IsTrue)
+	f.run(300)
+	c.Check(f.records["a"].Begun, qt.IsTrue)
+	f.finish(12_000)
+	c.Check(len(f.records["a"].Marks), qt.Equals, 3)
+	c.Check(f.finished["a"]-j.First >= 2*3000+2000, qt.IsTrue)
+}
+
+func TestPlacesKeepToLabelsRacksAndLimits(t *testing.T) {
+	f := newFleet(t, 6, 3, room)
+	rack := &task.Job{ID: "rack", Priority: 1, Stretch: 3, Target: 1000, Steps: []task.Step{
+		{Count: 3, Estimate: 2000, Label: "r1", Need: task.Room{MilliCPU: 1000, MemoryMB: 10, Accelerators: 1}},
+	}}
+	apart := &task.Job{ID: "apart", Priority: 1, Stretch: 3, Target: 1000, Steps: []task.Step{
+		{Count: 3, Estimate: 2000, MaxPerWorker: 1, DataRack: "r0", Need: task.Room{MilliCPU: 1000, MemoryMB: 10, Accelerators: 1}},
+	}}
+	f.submit(rack)
+	f.submit(apart)
+	f.run(200)
+	c := qt.New(t)
+	for _, h := range f.hosts {
+		mine := 0
+		for _, r := range h.runs {
+			if r.name.Job == "rack" {
+				c.Check(h.rack, qt.Equals, "r1")
+			} else {
+				c.Check(h.rack, qt.Equals, "r0")
+				mine++
+			}
+		}
+		c.Check(mine <= 1, qt.IsTrue)
+	}
+	f.finish(6000)
+}
--- a/core/route/route.go
+++ b/core/route/route.go
@@ -22,6 +22,7 @@
 	Attempts int
 	Stretch  float64
 	Public   bool
+	Advised  bool // an outside service says which workers may run its steps
 }
 
 // Service names endpoints that run a queue's tasks.
--- a/io/front/front.go
+++ b/io/front/front.go
@@ -53,6 +53,10 @@
 	if err := j.Check(); err != nil {
 		return err
 	}
+	if err := unsupported(q, j); err != nil {
+		f.Log.Warn("job_unsupported", "job", j.ID, "queue", q.Name, "error", err)
+		return err
+	}
 	if err := f.refuseWhenOut("submit", j.ID); err != nil {
 		return err
 	}
@@ -76,6 +80,22 @@
 	return nil
 }
 
+// unsupported refuses what this version can't run within its promises.
+func unsupported(q route.Queue, j *task.Job) error {
+	refuse := func(what string) error {
+		return fault.New(fault.Infeasible, "submit the job without it, or to a deployment that has it", "%s is not supported", what).WithOutcome(fault.NotRun)
+	}
+	if q.Advised {
+		return refuse("a queue whose workers an outside service chooses")
+	}
+	for _, s := range j.Steps {
+		if s.Backfill || s.TailTarget > 0 {
+			return refuse("a step that shares workers with others by pacing")
+		}
+	}
+	return nil
+}
+
 // refuseWhenOut sends a caller away at once while no write could be stored.
 // Nothing was sent, so the refusal is certain.
 func (f *Front) refuseWhenOut(what, id string) error {
