--- a/core/plan/load_test.go
+++ b/core/plan/load_test.go
@@ -110,10 +110,14 @@
 // of 3 s took 23 s, and held three times the room).
 func TestAGangWaitsForOneRackAsLongAsTheDetourCosts(t *testing.T) {
 	f := newFleet(t, 4, 2, room)
+	f.takes = func(j *task.Job, step int, h *host) clock.Millis {
+		if j.ID == "gang" {
+			return j.Steps[step].Estimate
+		}
+		return map[string]clock.Millis{"side-00": 4000, "side-01": 6000, "side-02": 4000, "side-03": 6000}[h.node]
+	}
 	for i := range 4 {
-		j := oneTask(fmt.Sprint("busy", i), 8)
-		j.Steps[0].Estimate = clock.Millis(4000 + 2000*(i%2))
-		f.submit(j)
+		f.submit(oneTask(fmt.Sprint("busy", i), 8))
 	}
 	f.run(200)
 	gang := &task.Job{ID: "gang", Priority: 1, Stretch: 3, Target: 1000, Steps: []task.Step{
