--- a/cmd/gypsumcrank/platform_test.go
+++ b/cmd/gypsumcrank/platform_test.go
@@ -67,6 +67,9 @@
 	fronts []string
 	execs  map[string]*plat.Executor
 	ends   []func()
+	judge  *plat.Judge
+	proxy  bool // each process reaches the store, and each side its executor, through a proxy
+	links  map[string]*plat.Proxy
 }
 
 // daemon is one process of the system.
@@ -132,19 +135,26 @@
 
 func (s *site) addSide(i int, takes time.Duration) error {
 	e := plat.NewExecutor(fmt.Sprintf("i-%d", i), "svc", fmt.Sprintf("r%d", i/2), takes)
+	e.Judge = s.judge
 	srv := httptest.NewServer(e)
 	s.ends = append(s.ends, srv.CloseClientConnections)
 	name := fmt.Sprintf("side-%d", i)
 	s.execs[name] = e
-	if err := s.addProcessWith("side", i, strings.TrimPrefix(srv.URL, "http://")); err != nil {
+	app, err := s.through(name+"-app", strings.TrimPrefix(srv.URL, "http://"))
+	if err != nil {
+		return err
+	}
+	if err := s.addProcessWith("side", i, app); err != nil {
 		return err
 	}
+	control := s.procs[name].addr
 	stop := make(chan struct{})
 	s.ends = append(s.ends, func() { close(stop) })
 	go func() {
 		for {
 			// A side that is down takes no heartbeat; the next one may.
-			_, _ = e.Beat(s.procs[name].addr, "ready")
+			_, _ = e.Beat(control, "ready")
+			e.Lapse()
 			select {
 			case <-stop:
 				return
@@ -155,6 +165,20 @@
 	return nil
 }
 
+// through puts a proxy before an address, where the site has proxies.
+func (s *site) through(name, addr string) (string, error) {
+	if !s.proxy {
+		return addr, nil
+	}
+	p, err := plat.NewProxy(addr)
+	if err != nil {
+		return "", err
+	}
+	s.links[name] = p
+	s.ends = append(s.ends, p.Close)
+	return p.Addr(), nil
+}
+
 func (s *site) addProcess(role string, i int) error { return s.addProcessWith(role, i, "") }
 
 func (s *site) addProcessWith(role string, i int, app string) error {
@@ -172,9 +196,13 @@
 	if err != nil {
 		return err
 	}
+	at, err := s.through(name, s.addr)
+	if err != nil {
+		return err
+	}
 	raw, err := json.Marshal(map[string]any{
 		"node_name": name, "ip": "127.0.0.1", "listen_addrs": listen, "port_range": []int{port, port}, "app": app,
-		"platform": map[string]string{"address": s.addr}, "limits": map[string]int{"memory_mb": 200},
+		"platform": map[string]string{"address": at}, "limits": map[string]int{"memory_mb": 200},
 		"bounds": map[string]any{"grace_s": 6, "hold_max_ms": 6000, "status_s": 120, "stop_ms": 200, "reclaim_ms": 2700},
 	})
 	if err != nil {
@@ -225,25 +253,34 @@
 // call has any front that answers serve a request.
 func (s *site) call(method, path, body string) (status int, answer string) {
 	for _, f := range s.fronts {
-		req, err := http.NewRequest(method, "http://"+s.procs[f].addr+path, strings.NewReader(body))
-		if err != nil {
-			return 0, err.Error()
-		}
-		req.Host = "jobs.example"
-		req.Header.Set("Authorization", "Bearer k1")
-		client := http.Client{Timeout: 3 * time.Second}
-		resp, err := client.Do(req)
-		if err != nil {
-			answer = err.Error()
-			continue
+		if status, answer = s.callAt(f, method, path, body); status != 0 {
+			return status, answer
 		}
-		raw, _ := io.ReadAll(resp.Body)
-		resp.Body.Close()
-		return resp.StatusCode, string(raw)
 	}
 	return 0, answer
 }
 
+// callAt has one front serve a request; the status is 0 without an answer.
+func (s *site) callAt(front, method, path, body string) (status int, answer string) {
+	req, err := http.NewRequest(method, "http://"+s.procs[front].addr+path, strings.NewReader(body))
+	if err != nil {
+		return 0, err.Error()
+	}
+	req.Host = "jobs.example"
+	req.Header.Set("Authorization", "Bearer k1")
+	client := http.Client{Timeout: 3 * time.Second}
+	resp, err := client.Do(req)
+	if err != nil {
+		return 0, err.Error()
+	}
+	defer resp.Body.Close()
+	raw, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return 0, err.Error()
+	}
+	return resp.StatusCode, string(raw)
+}
+
 // submit ID TASKS ACCELERATORS [gang]: submits until it is accepted.
 func (s *site) submit(args []string) error {
 	gang := len(args) > 3
--- a/internal/standin/plat/executor.go
+++ b/internal/standin/plat/executor.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"net/http"
+	"strings"
 	"sync"
 	"time"
 )
@@ -19,6 +20,8 @@
 	Takes time.Duration
 	// Mute leaves orders without an answer, after they were carried out.
 	Mute func() bool
+	// Judge, if set, is told what happens here.
+	Judge *Judge
 
 	mu     sync.Mutex
 	born   time.Time
@@ -91,6 +94,19 @@
 	return resp.StatusCode, nil
 }
 
+// Lapse ends what runs without a lease; call it now and then.
+func (e *Executor) Lapse() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.until == 0 || e.clock() <= e.until {
+		return
+	}
+	for task, r := range e.runs {
+		r.timer.Stop()
+		e.end(task, r.run, "lapsed")
+	}
+}
+
 func (e *Executor) clock() int64 { return time.Since(e.born).Milliseconds() + 1000 }
 
 func (e *Executor) wake() {
@@ -160,11 +176,18 @@
 		e.reply(w, map[string]any{})
 		return
 	}
+	if o.Until > 0 && o.Until <= e.clock() {
+		e.refuse(w, "late")
+		return
+	}
 	if o.Run <= e.barred[o.Task] {
 		e.refuse(w, "old")
 		return
 	}
 	e.starts[o.Task]++
+	if e.Judge != nil {
+		e.Judge.start(o.Task, strings.SplitN(o.Task, ".", 2)[0], e.ID)
+	}
 	e.runs[o.Task] = &execRun{run: o.Run, timer: time.AfterFunc(e.Takes, func() {
 		e.mu.Lock()
 		defer e.mu.Unlock()
@@ -186,6 +209,9 @@
 
 func (e *Executor) end(task string, run int, how string) {
 	delete(e.runs, task)
+	if e.Judge != nil {
+		e.Judge.end(task, e.ID)
+	}
 	e.barred[task] = max(e.barred[task], run)
 	e.number++
 	e.ends = append(e.ends, []any{e.number, task, run, how, ""})
@@ -194,6 +220,9 @@
 
 func (e *Executor) hold(w http.ResponseWriter, r *http.Request, o execOrder) {
 	for len(e.ends) > 0 && e.ends[0][0].(int64) <= o.Seen {
+		if e.Judge != nil && e.ends[0][3] == "done" {
+			e.Judge.note(e.ends[0][1].(string))
+		}
 		e.ends = e.ends[1:]
 	}
 	timeout := time.After(time.Duration(o.Wait) * time.Millisecond)
