--- /dev/null
+++ b/core/plan/bench_test.go
@@ -0,0 +1,98 @@
+package plan_test
+
+import (
+	"fmt"
+	"testing"
+
+	"gypsumcrank/core/clock"
+	"gypsumcrank/core/plan"
+	"gypsumcrank/core/route"
+	"gypsumcrank/core/task"
+)
+
+// bench is a planner with workers that start whatever they are told.
+type bench struct {
+	p       *plan.Planner
+	now     clock.Millis
+	nodes   []plan.ReportMsg
+	running map[string][]plan.RunningTask // by node
+}
+
+func (b *bench) send(msg any) {
+	e := b.p.Update(plan.Instant{Steady: b.now, Wall: b.now}, msg)
+	for e.Write != nil || len(e.Orders) > 0 {
+		orders := e.Orders
+		if w := e.Write; w != nil {
+			revs := map[string]int64{}
+			for _, r := range w.Records {
+				revs[r.ID] = int64(w.Seq)
+			}
+			e = b.p.Update(plan.Instant{Steady: b.now, Wall: b.now}, plan.WrittenMsg{Seq: w.Seq, Revs: revs})
+		} else {
+			e = plan.Effects{}
+		}
+		for _, o := range orders {
+			b.running[o.Node] = append(b.running[o.Node], plan.RunningTask{Task: o.Task, Run: o.Run, Percent: 1})
+			r := plan.ResultMsg{Node: o.Node, Life: o.Life, Kind: o.Kind, Task: o.Task, Run: o.Run, Outcome: plan.Accepted, Results: 1}
+			more := b.p.Update(plan.Instant{Steady: b.now, Wall: b.now}, r)
+			e.Orders = append(e.Orders, more.Orders...)
+			if more.Write != nil {
+				e.Write = more.Write
+			}
+		}
+	}
+}
+
+// newBench fills workers with tasks of one accelerator's eighth, and lets some
+// jobs wait.
+func newBench(workers, tasks, waiting int) *bench {
+	b := &bench{p: &plan.Planner{Epoch: 1, Settings: plan.DefaultSettings()}, now: 1000, running: map[string][]plan.RunningTask{}}
+	b.send(plan.ConfigMsg{Config: (&route.Config{Version: 1}).Prepare()})
+	for i := range workers {
+		life := task.Life{ID: fmt.Sprint("i-", i), Born: 1}
+		b.nodes = append(b.nodes, plan.ReportMsg{
+			Node: fmt.Sprint("side-", i), Life: life, Service: "svc", Rack: fmt.Sprint("r", i/8), Epoch: 1, Clock: 1000,
+			Capacity: task.Room{MilliCPU: 128000, MemoryMB: 262144, Accelerators: 8},
+		})
+		b.send(b.nodes[i])
+		b.send(plan.LinkMsg{Node: fmt.Sprint("side-", i), Up: true})
+	}
+	for i := range tasks / 50 {
+		b.send(plan.JobMsg{Job: &task.Job{ID: fmt.Sprint("run-", i), Service: "svc", Priority: 1, Stretch: 3, Steps: []task.Step{
+			{Count: 50, Estimate: clock.Hour, Need: task.Room{MilliCPU: 5000, MemoryMB: 4000}},
+		}}})
+	}
+	for i := range waiting {
+		b.send(plan.JobMsg{Job: &task.Job{ID: fmt.Sprint("wait-", i), Service: "svc", Priority: 1, Stretch: 3, Steps: []task.Step{
+			{Count: 16, Estimate: clock.Hour, Gang: true, SameRack: true, Need: task.Room{MilliCPU: 128000, MemoryMB: 200000, Accelerators: 8}},
+		}}})
+	}
+	return b
+}
+
+// second lets one second pass: ten ticks, and one report of each worker.
+func (b *bench) second() {
+	for i := range 10 {
+		b.now += 100
+		for n := i; n < len(b.nodes); n += 10 {
+			r := b.nodes[n]
+			r.Clock, r.Running = b.now, b.running[r.Node]
+			b.send(r)
+		}
+		b.send(plan.TickMsg{})
+	}
+}
+
+// BenchmarkSecond is what one second costs the planner while tasks run and
+// large jobs wait.
+func BenchmarkSecond(b *testing.B) {
+	for _, size := range []struct{ workers, tasks, waiting int }{{11, 240, 5}, {59, 1300, 20}, {450, 10000, 20}} {
+		b.Run(fmt.Sprintf("%d_workers_%d_tasks", size.workers, size.tasks), func(b *testing.B) {
+			p := newBench(size.workers, size.tasks, size.waiting)
+			b.ResetTimer()
+			for b.Loop() {
+				p.second()
+			}
+		})
+	}
+}
--- a/core/plan/evict.go
+++ b/core/plan/evict.go
@@ -145,7 +145,7 @@
 
 // checkYields stops tasks that should have ended for an ask by now.
 func (p *Planner) checkYields(w *worker) {
-	for _, u := range w.sorted() {
+	for u := range w.units {
 		if u.yields == 0 || p.now.Steady < u.yields {
 			continue
 		}
@@ -212,7 +212,7 @@
 			out = append(out, u)
 		}
 	}
-	sort.Slice(out, func(i, j int) bool { return out[i].name.String() < out[j].name.String() })
+	sortUnits(out)
 	return out
 }
 
@@ -342,7 +342,7 @@
 		if losses[can[i]] != losses[can[j]] {
 			return losses[can[i]] < losses[can[j]]
 		}
-		return can[i].name.String() < can[j].name.String()
+		return can[i].name.Less(can[j].name)
 	})
 	gangs := make(map[*gang]bool)
 	for _, v := range can {
--- a/core/plan/lists.go
+++ b/core/plan/lists.go
@@ -16,10 +16,7 @@
 	}
 	p.applyEnds(w, m.Ended, first)
 	listed := p.applyRunning(w, m.Running)
-	for _, u := range w.sorted() {
-		if listed[u] {
-			continue
-		}
+	for _, u := range w.missing(listed) {
 		switch {
 		case u.phase == unsure:
 			// An earlier planner meant to start it, and the worker now refuses that planner.
@@ -36,6 +33,18 @@
 	p.grant(w)
 }
 
+// missing lists the tasks of a worker whose runs it does not list.
+func (w *worker) missing(listed map[*unit]bool) []*unit {
+	var out []*unit
+	for u := range w.units {
+		if !listed[u] {
+			out = append(out, u)
+		}
+	}
+	sortUnits(out)
+	return out
+}
+
 // applyEnds goes through the ends that were not seen before, in order.
 func (p *Planner) applyEnds(w *worker, ends []EndedTask, first bool) {
 	sort.Slice(ends, func(i, j int) bool { return ends[i].Number < ends[j].Number })
--- a/core/plan/place.go
+++ b/core/plan/place.go
@@ -13,11 +13,12 @@
 	free    map[*worker]task.Room // can be given away now
 	soon    map[*worker]task.Room // free, and what is being stopped
 	racks   []string
+	byRack  map[string][]*worker
 	evicted map[*unit]bool
 }
 
 func (p *Planner) newBoard() *board {
-	b := &board{free: make(map[*worker]task.Room), soon: make(map[*worker]task.Room), evicted: make(map[*unit]bool)}
+	b := &board{free: make(map[*worker]task.Room), soon: make(map[*worker]task.Room), evicted: make(map[*unit]bool), byRack: make(map[string][]*worker)}
 	racks := make(map[string]bool)
 	for _, w := range p.workers {
 		if !p.usable(w) {
@@ -39,6 +40,9 @@
 	}
 	sort.Slice(b.workers, func(i, j int) bool { return b.workers[i].node < b.workers[j].node })
 	sort.Strings(b.racks)
+	for _, w := range b.workers {
+		b.byRack[w.rack] = append(b.byRack[w.rack], w)
+	}
 	return b
 }
 
@@ -177,13 +181,7 @@
 }
 
 func (b *board) inRack(rack string) []*worker {
-	var out []*worker
-	for _, w := range b.workers {
-		if w.rack == rack {
-			out = append(out, w)
-		}
-	}
-	return out
+	return b.byRack[rack]
 }
 
 // rackCouldHold tells whether some rack, if it were empty, had room for all.
--- a/core/plan/plan.go
+++ b/core/plan/plan.go
@@ -52,8 +52,10 @@
 	writing    *flight
 	seq        int
 	dirty      []*job
-	lastUrgent clock.Millis // when the last job of priority 0 came
-	changed    bool         // something may be placed that could not before
+	lastUrgent clock.Millis         // when the last job of priority 0 came
+	looked     clock.Millis         // when waiting work was last looked at
+	totals     map[string]task.Room // room of all workers by service, for one look
+	changed    bool                 // something may be placed that could not before
 	out        Effects
 	paused     bool
 }
@@ -84,6 +86,8 @@
 	}
 	if p.changed && !p.paused && p.config != nil {
 		p.changed = false
+		p.looked = p.now.Steady
+		clear(p.totals)
 		p.schedule()
 	}
 	p.flush()
@@ -107,10 +111,15 @@
 	p.workers = make(map[task.Life]*worker)
 	p.byNode = make(map[string]*worker)
 	p.lengths = make(map[string]*lengths)
+	p.totals = make(map[string]task.Room)
 }
 
 func (p *Planner) note(n Note) { p.out.Notes = append(p.out.Notes, n) }
 
+// lookEvery is how often waiting work is looked at again although nothing has
+// changed: waits end and rests are over.
+const lookEvery = 400 * clock.Millisecond
+
 // tick looks after everything that depends on time alone.
 func (p *Planner) tick() {
 	for _, w := range p.workers {
@@ -123,5 +132,7 @@
 		p.collect(j)
 	}
 	p.checkGangs()
-	p.changed = true
+	if p.now.Steady-p.looked >= lookEvery {
+		p.changed = true
+	}
 }
--- a/core/plan/sched.go
+++ b/core/plan/sched.go
@@ -161,12 +161,16 @@
 
 // total is the room of all workers of a service that are known.
 func (p *Planner) total(service string) task.Room {
+	if sum, ok := p.totals[service]; ok {
+		return sum
+	}
 	var sum task.Room
 	for _, w := range p.workers {
 		if !w.dead && w.service == service {
 			sum = sum.Plus(w.capacity)
 		}
 	}
+	p.totals[service] = sum
 	return sum
 }
 
@@ -239,5 +243,5 @@
 	if a.deadline != b.deadline {
 		return a.deadline < b.deadline
 	}
-	return a.first().name.String() < b.first().name.String()
+	return a.first().name.Less(b.first().name)
 }
--- a/core/plan/worker.go
+++ b/core/plan/worker.go
@@ -108,13 +108,18 @@
 	clear(w.foreign)
 }
 
+// sortUnits puts tasks into a stable order.
+func sortUnits(units []*unit) {
+	sort.Slice(units, func(i, j int) bool { return units[i].name.Less(units[j].name) })
+}
+
 // sorted lists the tasks in a stable order.
 func (w *worker) sorted() []*unit {
 	out := make([]*unit, 0, len(w.units))
 	for u := range w.units {
 		out = append(out, u)
 	}
-	sort.Slice(out, func(i, j int) bool { return out[i].name.String() < out[j].name.String() })
+	sortUnits(out)
 	return out
 }
 
--- a/core/task/task.go
+++ b/core/task/task.go
@@ -141,6 +141,20 @@
 	return fmt.Sprintf("%s.%d.%d.%d", n.Job, n.Occurrence, n.Step, n.Index)
 }
 
+// Less orders names by job, then by occurrence, step and index.
+func (n Name) Less(o Name) bool {
+	switch {
+	case n.Job != o.Job:
+		return n.Job < o.Job
+	case n.Occurrence != o.Occurrence:
+		return n.Occurrence < o.Occurrence
+	case n.Step != o.Step:
+		return n.Step < o.Step
+	default:
+		return n.Index < o.Index
+	}
+}
+
 // ParseName reads what String wrote.
 func ParseName(s string) (Name, error) {
 	parts := strings.Split(s, ".")
