Ends after a quiet takeover are acknowledged

Ruled out: writes that were late (none in doubt). What is no longer listed now counts as acknowledged.

--- a/core/plan/lists.go
+++ b/core/plan/lists.go
@@ -14,7 +14,7 @@
 	if first {
 		p.changed = true
 	}
-	p.applyEnds(w, m.Ended, first)
+	p.applyEnds(w, m.Ended)
 	listed := p.applyRunning(w, m.Running)
 	for _, u := range w.missing(listed) {
 		switch {
@@ -46,11 +46,11 @@
 }
 
 // applyEnds goes through the ends that were not seen before, in order.
-func (p *Planner) applyEnds(w *worker, ends []EndedTask, first bool) {
+func (p *Planner) applyEnds(w *worker, ends []EndedTask) {
 	sort.Slice(ends, func(i, j int) bool { return ends[i].Number < ends[j].Number })
-	if first && len(ends) > 0 {
-		// What came before was acknowledged by an earlier planner.
-		w.noted = max(w.noted, ends[0].Number-1)
+	if len(ends) > 0 {
+		// What is no longer listed was acknowledged, perhaps to an earlier planner.
+		w.settle(ends[0].Number - 1)
 	}
 	for _, e := range ends {
 		if e.Number <= w.seen {
--- a/core/plan/plan_test.go
+++ b/core/plan/plan_test.go
@@ -104,6 +104,10 @@
 				}
 			}
 			f.finish(200_000)
+			f.run(3000)
+			for _, h := range f.hosts {
+				qt.Check(t, len(h.ends), qt.Equals, 0, qt.Commentf("%s has ends that nobody acknowledged", h.node))
+			}
 		})
 	}
 }
@@ -208,3 +212,19 @@
 	qt.Check(t, f.records["first"].State, qt.Equals, task.Completed)
 	qt.Check(t, f.records["busy"].State, qt.Equals, task.Completed)
 }
+
+// Ends that come after a takeover are acknowledged, also where nothing was
+// listed when the new planner came: their numbers go on from the last one's
+// (trouble-2 of cedarleaf: 22 of 105 ends were never acknowledged).
+func TestEndsAreAcknowledgedAfterAQuietTakeover(t *testing.T) {
+	f := newFleet(t, 1, 1, room)
+	f.submit(oneTask("before", 2))
+	f.finish(5000)
+	f.run(1000)
+	f.takeOver()
+	f.run(1000)
+	f.submit(oneTask("after", 2))
+	f.finish(5000)
+	f.run(1000)
+	qt.Check(t, len(f.hosts[0].ends), qt.Equals, 0)
+}
--- a/core/plan/worker.go
+++ b/core/plan/worker.go
@@ -238,6 +238,15 @@
 // record notes that an end is in the store, and moves on what is acknowledged.
 func (w *worker) record(n int64) {
 	w.recorded[n] = true
+	w.settle(w.noted)
+}
+
+// settle takes all ends up to a number as acknowledged, and those after it
+// that are recorded without a gap.
+func (w *worker) settle(n int64) {
+	for ; w.noted < n; w.noted++ {
+		delete(w.recorded, w.noted+1)
+	}
 	for w.recorded[w.noted+1] {
 		w.noted++
 		delete(w.recorded, w.noted)
