--- a/core/plan/plan_test.go
+++ b/core/plan/plan_test.go
@@ -228,3 +228,46 @@
 	f.run(1000)
 	qt.Check(t, len(f.hosts[0].ends), qt.Equals, 0)
 }
+
+func TestADrainingWorkerGetsNoNewTasks(t *testing.T) {
+	f := newFleet(t, 2, 2, room)
+	f.run(100)
+	m := f.hosts[0].about()
+	m.Draining, m.Remaining = true, 3000
+	f.send(m)
+	for i := range 6 {
+		f.submit(oneTask(fmt.Sprint("j", i), 4))
+	}
+	for range 60 {
+		f.run(100)
+		qt.Assert(t, len(f.hosts[0].runs), qt.Equals, 0)
+	}
+	f.finish(20_000)
+}
+
+// What a stop saves is moved off a worker that leaves too soon; what would end
+// in time is left alone.
+func TestTasksThatCheckpointLeaveADrainingWorkerInTime(t *testing.T) {
+	f := newFleet(t, 2, 2, room)
+	long, short := oneTask("long", 4), oneTask("short", 4)
+	long.Steps[0].Checkpoints, long.Steps[0].Estimate = true, 20_000
+	short.Steps[0].Checkpoints, short.Steps[0].Estimate = true, 4000
+	f.submit(long)
+	f.submit(short)
+	f.run(2500)
+	var at *host
+	for _, h := range f.hosts {
+		if h.runs["long.0.0.0"] != nil {
+			at = h
+		}
+	}
+	qt.Assert(t, at.runs["short.0.0.0"], qt.IsNotNil)
+	m := at.about()
+	m.Draining, m.Remaining = true, 3000
+	f.send(m)
+	f.run(1000)
+	qt.Check(t, at.runs["long.0.0.0"], qt.IsNil)
+	qt.Check(t, at.runs["short.0.0.0"], qt.IsNotNil)
+	f.finish(40_000)
+	qt.Check(t, f.lost, qt.Equals, 0.0)
+}
--- /dev/null
+++ b/io/side/side_test.go
@@ -0,0 +1,101 @@
+package side
+
+import (
+	"context"
+	"log/slog"
+	"sync"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"gypsumcrank/core/clock"
+	"gypsumcrank/core/plan"
+	"gypsumcrank/core/task"
+)
+
+// obedient is a worker that accepts all orders and remembers them.
+type obedient struct {
+	mu     sync.Mutex
+	orders []plan.Order
+}
+
+func (w *obedient) Order(_ context.Context, o plan.Order) (plan.Outcome, string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.orders = append(w.orders, o)
+	return plan.Accepted, ""
+}
+
+func (w *obedient) Hold(context.Context, Hold) (Lists, error) { return Lists{}, nil }
+
+func newSide() (*Side, *obedient) {
+	w := &obedient{}
+	return &Side{Node: "side-1", Worker: w, Log: slog.New(slog.DiscardHandler), changed: make(chan struct{})}, w
+}
+
+func life(born clock.Millis) task.Life { return task.Life{ID: "i-1", Born: born} }
+
+func TestADrainingEndpointGetsNoStart(t *testing.T) {
+	c, ctx := qt.New(t), context.Background()
+	s, w := newSide()
+	s.Beat(Endpoint{Life: life(5), Seq: 1})
+	start := plan.Order{Kind: plan.OrderStart, Life: life(5), Epoch: 3}
+	got, _ := s.execute(ctx, start)
+	c.Check(got, qt.Equals, plan.Accepted)
+	s.Beat(Endpoint{Life: life(5), Seq: 2, Draining: true})
+	got, why := s.execute(ctx, start)
+	c.Check(got, qt.Equals, plan.Refused)
+	c.Check(why, qt.Contains, "draining")
+	got, _ = s.execute(ctx, plan.Order{Kind: plan.OrderStop, Life: life(5), Epoch: 3})
+	c.Check(got, qt.Equals, plan.Accepted)
+	c.Check(len(w.orders), qt.Equals, 2)
+}
+
+func TestOrdersOfOldPlannersAndForOldLivesAreNotPassedOn(t *testing.T) {
+	c, ctx := qt.New(t), context.Background()
+	s, w := newSide()
+	s.Beat(Endpoint{Life: life(5), Seq: 1})
+	s.epoch = 9
+	got, _ := s.execute(ctx, plan.Order{Kind: plan.OrderStart, Life: life(5), Epoch: 8})
+	c.Check(got, qt.Equals, plan.Refused)
+	got, _ = s.execute(ctx, plan.Order{Kind: plan.OrderStart, Life: life(4), Epoch: 9})
+	c.Check(got, qt.Equals, plan.Refused)
+	c.Check(len(w.orders), qt.Equals, 0)
+}
+
+func TestLateHeartbeatsChangeNothing(t *testing.T) {
+	c := qt.New(t)
+	s, _ := newSide()
+	s.Beat(Endpoint{Life: life(5), Seq: 4, Draining: true})
+	s.Beat(Endpoint{Life: life(5), Seq: 3})
+	c.Check(s.endpoint.Draining, qt.IsTrue)
+	s.Beat(Endpoint{Life: life(7), Seq: 1})
+	s.Beat(Endpoint{Life: life(5), Seq: 9})
+	c.Check(s.endpoint.Life, qt.Equals, life(7))
+	s.Leave("i-1")
+	s.Beat(Endpoint{Life: life(7), Seq: 2})
+	c.Check(s.endpoint, qt.IsNil)
+	s.Beat(Endpoint{Life: life(8), Seq: 1})
+	c.Check(s.endpoint.Life, qt.Equals, life(8))
+}
+
+// A grant of an older planner must not bring its lease along.
+func TestGrantsOfOtherEpochsAreIgnored(t *testing.T) {
+	c := qt.New(t)
+	s, _ := newSide()
+	s.epoch = 9
+	s.granted(plan.Grant{Epoch: 8, Until: 100})
+	c.Check(s.grant.Until, qt.Equals, clock.Millis(0))
+	s.granted(plan.Grant{Epoch: 9, Until: 100})
+	c.Check(s.grant.Until, qt.Equals, clock.Millis(100))
+}
+
+func TestASideWithoutAnyFrontKeepsLooking(t *testing.T) {
+	s, _ := newSide()
+	s.Fronts = []string{"127.0.0.1:1"}
+	begin := time.Now()
+	w := s.askAll(s.known())
+	qt.Check(t, w.Addr, qt.Equals, "")
+	qt.Check(t, time.Since(begin) < 2*time.Second, qt.IsTrue)
+}
