--- a/cmd/gypsumcrank/platform.go
+++ b/cmd/gypsumcrank/platform.go
@@ -33,8 +33,8 @@
 	// freshFor is how old the last answer of the store may be for a front to
 	// be ready; its watch answers each 1.5 s.
 	freshFor = 3 * clock.Second
-	// holdMargin keeps granted leases under the worker's longest.
-	holdMargin = 500 * clock.Millisecond
+	// holdMargin keeps granted leases under the worker's longest, by a twelfth.
+	holdMargin = 12
 	// keepMargin is how much longer than promised an ended job is kept.
 	keepMargin = clock.Minute
 	// memoryShare is the part of the host's memory at which garbage is collected harder.
@@ -100,7 +100,7 @@
 	d.jobs = &mirror.Mirror{Prefix: store.Root, Store: d.keeper, Log: log, See: d.index.See}
 	d.ops = &mirror.Mirror{Prefix: platform.ConfigRoot, Store: d.keeper, Log: log, See: d.seeConfig}
 	d.steer = &steer.Steer{
-		Node: set.Node, Addr: set.Link, Store: d.keeper, Mirror: d.jobs, Index: d.index, Config: d.config, Plan: planSettings(set), Log: log,
+		Node: set.Node, Addr: set.Link, Store: d.keeper, Mirror: d.jobs, Index: d.index, Config: d.config, Plan: planSettings(set), LeaseMin: set.LeaseMin, Log: log,
 		Relay: func(c *link.Conn, first link.Call) { relay.Serve(c, direct, first) },
 	}
 	d.ingress = &platform.Ingress{Config: d.config, Front: &front.Front{Store: d.keeper, Index: d.index, Out: d.relay.Out, Heard: d.jobs.Heard, Log: log}}
@@ -121,7 +121,12 @@
 // planSettings fits the planner to the platform's bounds.
 func planSettings(set platform.Settings) plan.Settings {
 	p := plan.DefaultSettings()
-	p.Hold = set.Hold - holdMargin
+	if set.Hold > 0 {
+		p.Hold = set.Hold - set.Hold/holdMargin
+	}
+	if set.GangWait > 0 {
+		p.StartWait = set.GangWait / 2 // a stop of those that came has to be in time too
+	}
 	p.KeepEnded = set.KeepEnded + keepMargin
 	p.StopTime, p.Reclaim, p.FarFactor = set.StopTime, set.Reclaim, set.FarFactor
 	return p
--- a/core/task/task.go
+++ b/core/task/task.go
@@ -84,8 +84,8 @@
 // Limits of one job.
 const (
 	MaxSteps       = 256
-	MaxTasks       = 10000
-	MaxOccurrences = 10000
+	MaxTasks       = 5000 // over all occurrences; their progress is one value of the store, of 1 MB
+	MaxOccurrences = 5000
 )
 
 // Check refuses a job that no cluster could make sense of.
@@ -108,7 +108,7 @@
 		}
 		total += s.Count
 	}
-	if total > MaxTasks || j.Repeat < 0 || j.Repeat > MaxOccurrences || (j.Repeat > 1 && j.Interval <= 0) {
+	if total*j.Occurrences() > MaxTasks || j.Repeat < 0 || j.Repeat > MaxOccurrences || (j.Repeat > 1 && j.Interval <= 0) {
 		return bad("the job has %d tasks and %d occurrences each %s", total, j.Repeat, j.Interval)
 	}
 	return nil
--- a/io/steer/steer.go
+++ b/io/steer/steer.go
@@ -29,7 +29,7 @@
 	// dies; a takeover has to be done within 2 s of the loss.
 	leaseTime = 1500 * clock.Millisecond
 	// renewEvery leaves room for three lost renewals.
-	renewEvery = leaseTime / 4
+	renewsPerLease = 4
 	// renewTimeout is how long one renewal may take; a slow store answers in 200 ms.
 	renewTimeout = 600 * clock.Millisecond
 	// lookEvery is how often a candidate looks whether the key is free.
@@ -60,8 +60,10 @@
 	Index  *front.Index
 	Config *route.Current
 	Plan   plan.Settings
-	Clock  clock.Clock
-	Log    *slog.Logger
+	// LeaseMin is the shortest lease that the store gives.
+	LeaseMin clock.Millis
+	Clock    clock.Clock
+	Log      *slog.Logger
 	// Relay serves a connection of another process that calls the store here.
 	Relay func(c *link.Conn, first link.Call)
 
@@ -145,7 +147,8 @@
 	try, cancel := context.WithTimeout(ctx, campaignTime.Duration())
 	defer cancel()
 	sent := s.Clock.Steady()
-	lease, err := s.Store.Grant(try, leaseTime)
+	length := max(leaseTime, s.LeaseMin)
+	lease, err := s.Store.Grant(try, length)
 	if err != nil {
 		s.Log.Debug("election_no_lease", "error", err)
 		return
@@ -169,7 +172,7 @@
 		s.endLease(lease)
 		return
 	}
-	t := &term{steer: s, epoch: res.Rev, lease: lease, valid: sent + leaseTime}
+	t := &term{steer: s, epoch: res.Rev, lease: lease, length: length, valid: sent + length}
 	s.Log.Info("planner_elected", "epoch", t.epoch)
 	t.serve(ctx)
 	s.endLease(lease)
--- a/io/steer/term.go
+++ b/io/steer/term.go
@@ -21,6 +21,7 @@
 	steer    *Steer
 	epoch    int64
 	lease    int64
+	length   clock.Millis // of the lease
 	valid    clock.Millis // the lease surely holds until then, on the steady clock
 	loop     *kern.Loop
 	planner  *plan.Planner
@@ -114,7 +115,7 @@
 		select {
 		case <-ctx.Done():
 			return
-		case <-time.After(renewEvery.Duration()):
+		case <-time.After((t.length / renewsPerLease).Duration()):
 		}
 		sent := s.Clock.Steady()
 		call, cancel := context.WithTimeout(ctx, renewTimeout.Duration())
@@ -122,7 +123,7 @@
 		cancel()
 		switch {
 		case err == nil:
-			t.loop.Send(renewedMsg{sent + leaseTime})
+			t.loop.Send(renewedMsg{sent + t.length})
 		case fault.Is(err, fault.NotFound):
 			t.lose("the lease ran out")
 			return
