Dead fronts leave the list of peers

Addresses now lie under a lease of 60 s, a stopping front takes its own back, and peers that did not answer are tried last.

--- a/cmd/gypsumcrank/platform.go
+++ b/cmd/gypsumcrank/platform.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"gypsumcrank/core/clock"
+	"gypsumcrank/core/fault"
 	"gypsumcrank/core/kern"
 	"gypsumcrank/core/plan"
 	"gypsumcrank/core/route"
@@ -39,8 +40,11 @@
 	keepMargin = clock.Minute
 	// memoryShare is the part of the host's memory at which garbage is collected harder.
 	memoryShare = 0.5
-	// registerEvery is the pause between tries to announce a front.
-	registerEvery = 500 * time.Millisecond
+	// registerLease is how long a dead front's address stays in the store.
+	registerLease = 60 * clock.Second
+	registerRenew = 20 * time.Second
+	// registerRetry is the pause between tries to announce a front.
+	registerRetry = 500 * time.Millisecond
 )
 
 // limitRuntime fits the Go runtime to a host with a share of one core.
@@ -87,6 +91,7 @@
 	ops     *mirror.Mirror
 	steer   *steer.Steer
 	ingress *platform.Ingress
+	seeds   atomic.Pointer[[]string] // where other fronts may be, from the settings
 	leaving atomic.Bool
 	metrics string // where metrics are shown
 }
@@ -94,6 +99,7 @@
 func newFrontDaemon(set platform.Settings, log *slog.Logger) *frontDaemon {
 	direct := platform.NewKV(set.Store)
 	d := &frontDaemon{set: set, log: log, config: &route.Current{}}
+	d.seeds.Store(&set.Peers)
 	d.index = &front.Index{Log: log}
 	d.relay = &relay.Relay{Direct: direct, Peers: d.peers, Log: log}
 	d.keeper = d.relay
@@ -110,7 +116,8 @@
 // peers lists the other fronts.
 func (d *frontDaemon) peers() []string {
 	var out []string
-	for _, a := range append(d.index.Fronts(), d.set.Peers...) {
+	seeds := *d.seeds.Load()
+	for _, a := range append(d.index.Fronts(), seeds...) {
 		if a != d.set.Link && !slices.Contains(out, a) {
 			out = append(out, a)
 		}
@@ -148,7 +155,10 @@
 	serving, end := context.WithCancel(context.Background())
 	defer end()
 	go d.runRegister(serving)
-	settings := &reloader{current: d.set, log: d.log, apply: func(set platform.Settings) { d.steer.Reset(planSettings(set)) }}
+	settings := &reloader{current: d.set, log: d.log, apply: func(set platform.Settings) {
+		d.seeds.Store(&set.Peers)
+		d.steer.Reset(planSettings(set))
+	}}
 	go settings.run(serving)
 	go d.runLeave(ctx, end)
 	err := k.Run(serving)
@@ -165,26 +175,56 @@
 	end()
 }
 
-// runRegister tells the others where this front is.
+// runRegister tells the others where this front is, for as long as it lives.
 func (d *frontDaemon) runRegister(ctx context.Context) {
-	key := store.FrontKey(d.set.Node)
+	var lease int64
 	for ctx.Err() == nil {
-		if d.jobs.Rev() > 0 {
-			old, have := d.jobs.Get(key)
-			if have && string(old.Value) == d.set.Link {
-				return
-			}
-			res, err := d.keeper.Commit(ctx, store.Txn{
-				If:  []store.Condition{{Key: key, Rev: old.Rev}},
-				Put: []store.Item{{Key: key, Value: []byte(d.set.Link)}},
-			})
-			d.log.Debug("front_registered", "held", res.Held, "error", err)
+		wait := registerRetry
+		if lease == 0 {
+			lease = d.register(ctx)
+		} else if err := d.keeper.KeepAlive(ctx, lease); fault.Is(err, fault.NotFound) {
+			lease = 0
+			continue
+		}
+		if lease != 0 {
+			wait = registerRenew
 		}
 		select {
 		case <-ctx.Done():
-		case <-time.After(registerEvery):
+		case <-time.After(wait):
 		}
 	}
+	if lease != 0 {
+		end, cancel := context.WithTimeout(context.Background(), registerRetry)
+		defer cancel()
+		if err := d.keeper.Revoke(end, lease); err != nil {
+			d.log.Info("front_not_deregistered", "error", err)
+		}
+	}
+}
+
+// register writes this front's address under a lease, and returns the lease or
+// 0 if it could not.
+func (d *frontDaemon) register(ctx context.Context) int64 {
+	if d.jobs.Rev() == 0 {
+		return 0
+	}
+	key := store.FrontKey(d.set.Node)
+	lease, err := d.keeper.Grant(ctx, registerLease)
+	if err != nil {
+		d.log.Debug("front_not_registered", "error", err)
+		return 0
+	}
+	old, _ := d.jobs.Get(key)
+	res, err := d.keeper.Commit(ctx, store.Txn{
+		If:  []store.Condition{{Key: key, Rev: old.Rev}},
+		Put: []store.Item{{Key: key, Value: []byte(d.set.Link), Lease: lease}},
+	})
+	if err != nil || !res.Held {
+		d.log.Debug("front_not_registered", "held", res.Held, "error", err)
+		return 0
+	}
+	return lease
 }
 
 func (d *frontDaemon) seeConfig(changes []store.Change) {
--- a/io/relay/relay.go
+++ b/io/relay/relay.go
@@ -8,6 +8,8 @@
 import (
 	"context"
 	"log/slog"
+	"slices"
+	"sort"
 	"sync"
 	"time"
 
@@ -42,14 +44,15 @@
 	Peers func() []string
 	Log   *slog.Logger
 
-	mu     sync.Mutex
-	around bool
-	worked clock.Millis // when a call was last answered, on the steady clock
-	failed clock.Millis // when one last was not
-	last   string       // the peer that served last
-	conns  map[string]*peer
-	cancel context.CancelFunc
-	ended  chan struct{}
+	mu      sync.Mutex
+	around  bool
+	worked  clock.Millis            // when a call was last answered, on the steady clock
+	failed  clock.Millis            // when one last was not
+	last    string                  // the peer that served last
+	failing map[string]clock.Millis // when a peer last did not answer
+	conns   map[string]*peer
+	cancel  context.CancelFunc
+	ended   chan struct{}
 }
 
 // Start begins to watch over the direct way.
@@ -163,6 +166,7 @@
 		var p *peer
 		if p, err = r.peer(addr); err != nil {
 			err = unreached("peer %s: %v", addr, err)
+			r.fail(addr)
 			continue
 		}
 		var reply link.Reply
@@ -176,6 +180,7 @@
 		if err == nil {
 			err = reply.Err
 		} else {
+			r.fail(addr)
 			r.drop(addr, p)
 		}
 		if c.Op == link.OpCommit && fault.Of(err).Outcome != fault.NotRun || !fault.Is(err, fault.StoreOut) {
@@ -189,19 +194,19 @@
 	return fault.New(fault.StoreOut, "wait until the store serves this host or a peer is up", format, args...).WithOutcome(fault.NotRun)
 }
 
-// order lists the peers, the one that served last first.
+// order lists the peers: the one that served last first, those that failed
+// last at the end.
 func (r *Relay) order() []string {
+	out := slices.Clone(r.Peers())
 	r.mu.Lock()
-	last := r.last
-	r.mu.Unlock()
-	var out []string
-	for _, a := range r.Peers() {
-		if a == last {
-			out = append([]string{a}, out...)
-		} else {
-			out = append(out, a)
+	defer r.mu.Unlock()
+	rank := func(a string) clock.Millis {
+		if a == r.last {
+			return -1
 		}
+		return r.failing[a]
 	}
+	sort.SliceStable(out, func(i, j int) bool { return rank(out[i]) < rank(out[j]) })
 	return out
 }
 
@@ -236,6 +241,16 @@
 	r.drop(addr, p)
 }
 
+// fail remembers that a peer did not answer.
+func (r *Relay) fail(addr string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.failing == nil {
+		r.failing = make(map[string]clock.Millis)
+	}
+	r.failing[addr] = clock.System().Steady()
+}
+
 func (r *Relay) drop(addr string, p *peer) {
 	p.conn.Close()
 	r.mu.Lock()
--- a/io/relay/relay_test.go
+++ b/io/relay/relay_test.go
@@ -117,3 +117,16 @@
 		_, _, _ = r.Get(ctx, "a/x")
 	}
 }
+
+// A machine that was replaced stays among the peers for a while; calls get past it.
+func TestDeadPeersAreTriedLast(t *testing.T) {
+	c := qt.New(t)
+	away, served := plat.NewStore(), plat.NewStore()
+	away.SetFault(plat.Busy)
+	r := newRelay(t, host(t, away), "127.0.0.1:1", "127.0.0.1:2", "127.0.0.1:3", servePeer(t, host(t, served)))
+	ctx, cancel := context.WithTimeout(context.Background(), 3*time.Second)
+	defer cancel()
+	res, err := store.Resolve(ctx, r, put("a/x"), 0)
+	c.Assert(err, qt.IsNil)
+	c.Check(res.Held, qt.IsTrue)
+}
