--- a/io/link/link.go
+++ b/io/link/link.go
@@ -11,6 +11,7 @@
 	"io"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
@@ -62,6 +63,7 @@
 	in   *bufio.Reader
 	out  chan Frame
 	once sync.Once
+	sent atomic.Int64 // when Send was last called, in milliseconds of the steady clock
 	done chan struct{}
 }
 
@@ -84,6 +86,7 @@
 
 // Send queues a frame. A peer that has let the queue fill is cut off.
 func (c *Conn) Send(f Frame) {
+	c.sent.Store(int64(clock.System().Steady()))
 	select {
 	case c.out <- f:
 	case <-c.done:
@@ -92,6 +95,9 @@
 	}
 }
 
+// Quiet is how long ago Send was last called.
+func (c *Conn) Quiet() clock.Millis { return clock.System().Steady() - clock.Millis(c.sent.Load()) }
+
 // Receive waits for the next frame, at most for the given time.
 func (c *Conn) Receive(wait clock.Millis) (Frame, error) {
 	var f Frame
--- a/io/side/find.go
+++ b/io/side/find.go
@@ -4,6 +4,8 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -24,8 +26,10 @@
 	// silence is how long a planner may say nothing; it answers each report
 	// at once, and there is one each second.
 	silence = 1500 * clock.Millisecond
-	// aliveEvery is how often a side speaks when it has nothing to report.
-	aliveEvery = 700 * time.Millisecond
+	// A side that has said nothing for aliveAfter speaks; it looks at that each
+	// aliveEvery.
+	aliveEvery = 300 * time.Millisecond
+	aliveAfter = 600 * clock.Millisecond
 	// searchPause is the wait between two searches.
 	searchPause = 150 * time.Millisecond
 	// storeTimeout bounds the look into the store for the planner's address.
@@ -58,10 +62,17 @@
 	return best.Addr, best.Epoch
 }
 
+// askedAtOnce bounds how many fronts one search asks, so that the searches of
+// all sides do not grow with the number of fronts.
+const askedAtOnce = 3
+
+// known draws some fronts to ask.
 func (s *Side) known() []string {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return append([]string(nil), s.Fronts...)
+	out := slices.Clone(s.Fronts)
+	rand.Shuffle(len(out), func(i, j int) { out[i], out[j] = out[j], out[i] })
+	return out[:min(len(out), askedAtOnce)]
 }
 
 // askAll asks some fronts at once and returns the newest answer.
@@ -238,7 +249,9 @@
 		case <-c.Done():
 			return
 		case <-tick.C:
-			c.Send(link.Frame{Hello: &link.Hello{Node: s.Node}})
+			if c.Quiet() >= aliveAfter {
+				c.Send(link.Frame{Hello: &link.Hello{Node: s.Node}})
+			}
 		}
 	}
 }
--- a/io/steer/steer.go
+++ b/io/steer/steer.go
@@ -232,7 +232,7 @@
 		case f.Result != nil:
 			alive = t.loop.Send(*f.Result)
 		case f.Hello != nil:
-			c.Send(link.Frame{Welcome: s.welcome(s.current())})
+			c.Send(link.Frame{Welcome: &link.Welcome{Planner: s.current() == t, Epoch: t.epoch}})
 		}
 		if !alive {
 			return
