Lengths of gangs that ran over several racks are not learnt; names read again

A gang on the wrong racks takes far_x times as long, which had been taken for its queue's usual length.

--- a/core/plan/evict.go
+++ b/core/plan/evict.go
@@ -9,9 +9,9 @@
 	"gypsumcrank/core/task"
 )
 
-// saveEvery is how much work a checkpointing task loses at most when it is
-// stopped: a stop writes a checkpoint, so only the restore is lost.
-const saveEvery = 200 * clock.Millisecond
+// restoreLoss is what a checkpointing task loses when it is stopped: a stop
+// writes a checkpoint, so only the restore and the way are lost.
+const restoreLoss = 200 * clock.Millisecond
 
 // urgentLoss makes work of priority 0 the last to be evicted.
 const urgentLoss = 1e9
@@ -30,7 +30,7 @@
 		}
 		lost := p.now.Steady - m.since
 		if m.step.Checkpoints {
-			lost = min(lost, saveEvery)
+			lost = min(lost, restoreLoss)
 		}
 		sum += float64(lost) * m.step.Need.Cores()
 	}
--- a/core/plan/health.go
+++ b/core/plan/health.go
@@ -4,10 +4,10 @@
 
 // Bounds of the quarantine.
 const (
-	badJobs       = 2 // jobs that must fail in a row before a worker is suspected
-	firstRest     = 3 * clock.Second
-	longestRest   = 60 * clock.Second
-	doubtsPerRest = 2 // the rest doubles each time
+	badJobs     = 2 // jobs that must fail in a row before a worker is suspected
+	firstRest   = 3 * clock.Second
+	longestRest = 60 * clock.Second
+	restGrowth  = 2 // each rest is so many times the last
 )
 
 // health is the evidence for or against one worker: failures of different
@@ -17,11 +17,12 @@
 	streak  int
 	until   clock.Millis
 	rest    clock.Millis
-	probing bool
 }
 
-func (h *health) good(clock.Millis) { *h = health{} }
+// good forgets all evidence: a run ended well.
+func (h *health) good() { *h = health{} }
 
+// bad notes that a run of a job failed.
 func (h *health) bad(now clock.Millis, job string) {
 	if job != h.lastJob {
 		h.streak++
@@ -30,9 +31,8 @@
 	if h.streak < badJobs {
 		return
 	}
-	h.rest = min(max(firstRest, h.rest*doubtsPerRest), longestRest)
+	h.rest = min(max(firstRest, h.rest*restGrowth), longestRest)
 	h.until = now + h.rest
-	h.probing = true
 }
 
 // resting tells whether the worker gets no work at all.
--- a/core/plan/lists.go
+++ b/core/plan/lists.go
@@ -95,7 +95,7 @@
 	p.release(u)
 	switch e.How {
 	case EndDone:
-		w.health.good(p.now.Steady)
+		w.health.good()
 		p.finish(u)
 	case EndFailed:
 		w.health.bad(p.now.Steady, j.ID)
--- a/core/plan/place.go
+++ b/core/plan/place.go
@@ -121,6 +121,11 @@
 	for i, u := range a.units {
 		u.booked = nil
 		p.intend(u, at[i], run+1)
+		if u.step.SameRack && at[i].rack != at[0].rack {
+			for _, m := range a.units[:i+1] {
+				m.far = true
+			}
+		}
 	}
 }
 
--- a/core/plan/unit.go
+++ b/core/plan/unit.go
@@ -19,21 +19,23 @@
 	unsure                // recorded by an earlier planner; worker not heard yet
 )
 
-// unit is one task.
+// unit is one task: what it is, how far it has come (which the record keeps),
+// and where its current run stands (which a new planner learns from workers).
 type unit struct {
 	job   *job
 	step  *task.Step
 	gang  *gang
 	name  task.Name
-	phase phase
-	run   int
+	ready clock.Millis // since when it could have been placed
+
+	run   int     // number of the current or last run
 	at    *worker // where the run may be; its room counts there
-	fails int
-	ended int // last run whose end was applied; it may be listed again
-	saved string
+	fails int     // runs that failed
+	ended int     // last run whose end was applied; it may be listed again
+	saved string  // newest checkpoint
 	done  bool
-	ready clock.Millis // since when it could have been placed
 
+	phase   phase
 	asked   clock.Millis // when the last order was sent
 	tries   int          // starts sent for this run
 	doubt   bool         // a start of this run may still be on its way
@@ -43,7 +45,7 @@
 	since   clock.Millis       // when the run was confirmed
 	avoid   map[task.Life]bool // where it failed
 	resumed bool               // the run began from a checkpoint
-	far     bool               // the run lies away from its data
+	far     bool               // the run lies away from its data, or its gang on several racks
 	booked  *worker            // where room is being made for it
 	yields  clock.Millis       // when its room is expected for another task, 0 if not
 }
--- a/io/steer/steer.go
+++ b/io/steer/steer.go
@@ -28,7 +28,7 @@
 	// leaseTime bounds how long the system is without a planner after one
 	// dies; a takeover has to be done within 2 s of the loss.
 	leaseTime = 1500 * clock.Millisecond
-	// renewEvery leaves room for three lost renewals.
+	// renewsPerLease leaves room for three lost renewals.
 	renewsPerLease = 4
 	// renewTimeout is how long one renewal may take; a slow store answers in 200 ms.
 	renewTimeout = 600 * clock.Millisecond
