--- a/core/plan/load_test.go
+++ b/core/plan/load_test.go
@@ -179,3 +179,17 @@
 	r := f.hosts[0].runs["urgent.0.0.0"]
 	qt.Check(t, r != nil || f.finished["urgent"] > 0, qt.IsTrue)
 }
+
+// A gang that had to run over two racks tells nothing about its queue's usual
+// length.
+func TestLengthsOfGangsOnTheWrongRacksAreNotLearnt(t *testing.T) {
+	f := newFleet(t, 2, 1, room)
+	f.takes = func(*task.Job, int, *host) clock.Millis { return 6000 }
+	for i := range 4 {
+		f.submit(&task.Job{ID: fmt.Sprint("gang", i), Queue: "match", Priority: 1, Stretch: 3, Target: 1000, Steps: []task.Step{
+			{Count: 2, Estimate: 2000, Gang: true, SameRack: true, Need: task.Room{MilliCPU: 1000, MemoryMB: 10, Accelerators: 8}},
+		}})
+	}
+	f.finish(60_000)
+	qt.Check(t, f.planner.Expect("match", 2000), qt.Equals, clock.Millis(2000))
+}
--- a/core/plan/place.go
+++ b/core/plan/place.go
@@ -117,15 +117,15 @@
 	for _, u := range a.units {
 		run = max(run, u.run)
 	}
+	spread := false
+	for _, w := range at {
+		spread = spread || a.first().step.SameRack && w.rack != at[0].rack
+	}
 	b.take(a, at)
 	for i, u := range a.units {
 		u.booked = nil
 		p.intend(u, at[i], run+1)
-		if u.step.SameRack && at[i].rack != at[0].rack {
-			for _, m := range a.units[:i+1] {
-				m.far = true
-			}
-		}
+		u.far = u.far || spread
 	}
 }
 
