--- a/core/route/route.go
+++ b/core/route/route.go
@@ -8,6 +8,7 @@
 	"sync/atomic"
 
 	"gypsumcrank/core/clock"
+	"gypsumcrank/core/fault"
 )
 
 // Queue takes the jobs of one host and path prefix.
@@ -82,6 +83,31 @@
 	return account, ok
 }
 
+// Admission is what a caller is let in to.
+type Admission struct {
+	Queue   Queue
+	Account string // empty for a caller without a key, on a public queue
+	Rest    string // of the path, after the queue's prefix
+}
+
+// Admit decides whether a caller may use the queue that a host and path belong
+// to. The error is store_out while no configuration is known (c is nil),
+// not_found where there is no such queue, and denied for an unknown key.
+func (c *Config) Admit(host, path, key string) (Admission, error) {
+	if c == nil {
+		return Admission{}, fault.New(fault.StoreOut, "try again", "no configuration is known yet").WithOutcome(fault.NotRun).WithRetry(clock.Second)
+	}
+	q, rest, ok := c.Match(host, path)
+	if !ok {
+		return Admission{}, fault.New(fault.NotFound, "check host and path", "no such queue").WithOutcome(fault.NotRun)
+	}
+	account, known := c.Owner(key)
+	if !known && !q.Public {
+		return Admission{}, fault.New(fault.Denied, "use a key of a client account", "the key is not known").WithOutcome(fault.NotRun)
+	}
+	return Admission{Queue: q, Account: account, Rest: rest}, nil
+}
+
 // Current is the newest configuration that a process has seen. It never goes
 // back to an older version.
 type Current struct {
