Load patterns as recorded loads, replayed under the planner and first fit

core/load reads loads (workers, queues, jobs with their real lengths, workers that turn slow or fail, cancellations) and weighs what came of them as callers do; internal/traces writes nine of them; the fake fleet replays them under the planner and under first fit, with the detours of wrong racks and the work of slow workers counted. What a job's longest path and objective are moved to core/task, where both use it.

Ruled out: nothing; no decision was changed.

--- a/core/plan/fleet_test.go
+++ b/core/plan/fleet_test.go
@@ -18,7 +18,8 @@
 	t        *testing.T
 	now      clock.Millis
 	epoch    int64
-	planner  *plan.Planner
+	planner  planner
+	begin    func(epoch int64) planner // makes the next planner
 	config   *route.Config
 	hosts    []*host
 	jobs     map[string]*task.Job
@@ -34,13 +35,20 @@
 	late     func() clock.Millis // how much later an order is carried out, without an answer; 0: at once
 	// firstLook is how long a worker takes to give its lists to a new planner.
 	firstLook func() clock.Millis
-	ended     map[string]bool // tasks with a run that ended done
-	done      map[string]bool // those whose end was noted too
+	slow      func(h *host) float64 // how many times as long its tasks take
+	spoils    func(r *run) bool     // whether a run that has done its work ends failed
+	ended     map[string]bool       // tasks with a run that ended done
+	done      map[string]bool       // those whose end was noted too
 	finished  map[string]clock.Millis
 	evicted   int
 	lost      float64 // core-milliseconds of work stopped and not saved
 }
 
+// planner is what the fleet asks for decisions.
+type planner interface {
+	Update(now plan.Instant, msg any) plan.Effects
+}
+
 // event is something on its way.
 type event struct {
 	at clock.Millis
@@ -72,7 +80,8 @@
 	name  task.Name
 	run   int
 	began clock.Millis // when work began, 0 while a gang waits
-	from  clock.Millis // work already saved
+	work  float64      // that has been done, in milliseconds
+	far   float64      // how many times as long it takes where it is
 	put   clock.Millis
 }
 
@@ -95,21 +104,29 @@
 	f.takes = func(j *task.Job, step int, _ *host) clock.Millis { return j.Steps[step].Estimate }
 	f.late = func() clock.Millis { return 0 }
 	f.firstLook = f.late
-	for i := range hosts {
-		f.hosts = append(f.hosts, &host{
-			f: f, node: fmt.Sprintf("side-%02d", i), life: task.Life{ID: fmt.Sprintf("i-%02d", i), Born: 1}, rack: fmt.Sprintf("r%d", i/perRack),
-			room: room, runs: map[string]*run{}, barred: map[string]int{},
-		})
+	f.slow = func(*host) float64 { return 1 }
+	f.spoils = func(*run) bool { return false }
+	f.begin = func(epoch int64) planner { return &plan.Planner{Epoch: epoch, Settings: plan.DefaultSettings()} }
+	for range hosts {
+		f.addHost(perRack, room)
 	}
 	f.takeOver()
 	return f
 }
 
+func (f *fleet) addHost(perRack int, room task.Room) {
+	i := len(f.hosts)
+	f.hosts = append(f.hosts, &host{
+		f: f, node: fmt.Sprintf("side-%02d", i), life: task.Life{ID: fmt.Sprintf("i-%02d", i), Born: 1}, rack: fmt.Sprintf("r%d", i/perRack),
+		room: room, runs: map[string]*run{}, barred: map[string]int{},
+	})
+}
+
 // takeOver starts a new planner from what the store holds.
 func (f *fleet) takeOver() {
 	f.rev++
 	f.epoch = f.rev
-	f.planner = &plan.Planner{Epoch: f.epoch, Settings: plan.DefaultSettings()}
+	f.planner = f.begin(f.epoch)
 	f.send(plan.ConfigMsg{Config: f.config})
 	for _, id := range f.ids() {
 		f.send(f.jobMsg(id))
@@ -182,7 +199,7 @@
 	}
 }
 
-func (f *fleet) write(epoch int64, planner *plan.Planner, w *plan.Write) {
+func (f *fleet) write(epoch int64, planner planner, w *plan.Write) {
 	f.later(f.storeLag, func() {
 		if f.storeOut {
 			f.write(epoch, planner, w)
@@ -222,7 +239,7 @@
 }
 
 // order carries an order out, unless it is lost on the way.
-func (f *fleet) order(planner *plan.Planner, o plan.Order) {
+func (f *fleet) order(planner planner, o plan.Order) {
 	h := f.host(o.Node)
 	if h == nil || h.down || h.cut || h.life != o.Life {
 		return
@@ -275,7 +292,7 @@
 	name, _ := task.ParseName(o.Task)
 	r := &run{name: name, run: o.Run, put: h.f.now}
 	if o.Checkpoint != "" {
-		fmt.Sscanf(o.Checkpoint, "%d", &r.from)
+		fmt.Sscanf(o.Checkpoint, "%g", &r.work)
 	}
 	h.runs[o.Task] = r
 	h.f.checkStart(h, r)
@@ -314,7 +331,7 @@
 	}
 	e := plan.EndedTask{Number: h.number, Task: name, Run: r.run, How: how}
 	if h.f.jobs[r.name.Job].Steps[r.name.Step].Checkpoints && r.began > 0 {
-		e.Checkpoint = fmt.Sprint(r.from + h.f.now - r.began)
+		e.Checkpoint = fmt.Sprint(r.work)
 	}
 	h.ends = append(h.ends, e)
 	h.nextAt = h.f.now
@@ -425,7 +442,7 @@
 	if r.began == 0 {
 		return 0
 	}
-	return int(100 * (r.from + f.now - r.began) / max(1, f.takes(f.jobs[r.name.Job], r.name.Step, h)))
+	return int(100 * r.work / float64(max(1, f.takes(f.jobs[r.name.Job], r.name.Step, h))))
 }
 
 func (h *host) names() []string {
@@ -447,24 +464,54 @@
 			}
 			return
 		}
-		r.began = f.now
+		r.began, r.far = f.now, f.farFactor(h, r)
 	}
+	r.work += 1 / (f.slow(h) * r.far)
 	if f.fails != nil && f.fails(r.name, r.run, h) && f.now-r.began > 100 {
 		h.end(name, plan.EndFailed)
 		f.breakGang(r, plan.EndBroken)
 		return
 	}
-	if r.from+f.now-r.began >= f.takes(j, r.name.Step, h) {
-		h.end(name, plan.EndDone)
-		f.breakGang(r, plan.EndDone)
+	if r.work < float64(f.takes(j, r.name.Step, h)) {
+		return
+	}
+	if f.spoils(r) {
+		h.end(name, plan.EndFailed)
+		f.breakGang(r, plan.EndBroken)
+		return
 	}
+	h.end(name, plan.EndDone)
+	f.breakGang(r, plan.EndDone)
+}
+
+// farFactor is how many times as long a run takes away from its data, or with
+// a gang that wants one rack on several.
+func (f *fleet) farFactor(h *host, r *run) float64 {
+	s := f.jobs[r.name.Job].Steps[r.name.Step]
+	far := s.DataRack != "" && s.DataRack != h.rack
+	if s.SameRack {
+		for _, o := range f.hosts {
+			for _, m := range o.runs {
+				far = far || sameRun(m, r) && o.rack != h.rack
+			}
+		}
+	}
+	if far {
+		return plan.DefaultSettings().FarFactor
+	}
+	return 1
+}
+
+// sameRun tells whether two runs are members of one gang's run.
+func sameRun(a, b *run) bool {
+	return a.name.Job == b.name.Job && a.name.Step == b.name.Step && a.name.Occurrence == b.name.Occurrence && a.run == b.run
 }
 
 func (f *fleet) gangWhole(r *run) bool {
 	n := 0
 	for _, h := range f.hosts {
 		for _, o := range h.runs {
-			if o.name.Job == r.name.Job && o.name.Step == r.name.Step && o.name.Occurrence == r.name.Occurrence && o.run == r.run {
+			if sameRun(o, r) {
 				n++
 			}
 		}
@@ -480,7 +527,7 @@
 	for _, h := range f.hosts {
 		for _, name := range h.names() {
 			o := h.runs[name]
-			if o.name.Job == r.name.Job && o.name.Step == r.name.Step && o.name.Occurrence == r.name.Occurrence && o.run == r.run {
+			if sameRun(o, r) {
 				h.end(name, how)
 			}
 		}
--- a/core/plan/load_test.go
+++ b/core/plan/load_test.go
@@ -152,10 +152,10 @@
 	}
 	f.finish(20_000)
 	for _, estimate := range []clock.Millis{500, 3000, 12000} {
-		got := f.planner.Expect("match", estimate)
+		got := f.planner.(*plan.Planner).Expect("match", estimate)
 		qt.Check(t, got > 2400 && got < 3800, qt.IsTrue, qt.Commentf("%s became %s", estimate, got))
 	}
-	qt.Check(t, f.planner.Expect("other", 500), qt.Equals, clock.Millis(500))
+	qt.Check(t, f.planner.(*plan.Planner).Expect("other", 500), qt.Equals, clock.Millis(500))
 }
 
 // Work inside its account's guarantee does not rely on room that others wait
@@ -184,12 +184,11 @@
 // length.
 func TestLengthsOfGangsOnTheWrongRacksAreNotLearnt(t *testing.T) {
 	f := newFleet(t, 2, 1, room)
-	f.takes = func(*task.Job, int, *host) clock.Millis { return 6000 }
 	for i := range 4 {
 		f.submit(&task.Job{ID: fmt.Sprint("gang", i), Queue: "match", Priority: 1, Stretch: 3, Target: 1000, Steps: []task.Step{
 			{Count: 2, Estimate: 2000, Gang: true, SameRack: true, Need: task.Room{MilliCPU: 1000, MemoryMB: 10, Accelerators: 8}},
 		}})
 	}
 	f.finish(60_000)
-	qt.Check(t, f.planner.Expect("match", 2000), qt.Equals, clock.Millis(2000))
+	qt.Check(t, f.planner.(*plan.Planner).Expect("match", 2000), qt.Equals, clock.Millis(2000))
 }
--- a/core/plan/plan_test.go
+++ b/core/plan/plan_test.go
@@ -38,7 +38,7 @@
 	j.Steps[0].Gang = true
 	f.submit(j)
 	f.run(50)
-	f.planner.Pause(true) // nowhere to start again yet
+	f.planner.(*plan.Planner).Pause(true) // nowhere to start again yet
 	for f.records["a"] == nil || f.records["a"].Marks[0].Failures == 0 {
 		f.run(1)
 	}
--- a/core/plan/reserve.go
+++ b/core/plan/reserve.go
@@ -54,8 +54,8 @@
 	if p.now.Steady-a.since > idleWait && p.mostlyIdle(j.Service) {
 		return false
 	}
-	objective := clock.Millis(j.Stretch*float64(p.chain(j))) + j.Target
-	return float64(a.deadline-p.now.Steady-p.chain(j)) > reserveSlack*float64(objective)
+	chain := p.chain(j)
+	return float64(a.deadline-p.now.Steady-chain) > reserveSlack*float64(j.Objective(chain))
 }
 
 // give puts kept room back for one ask.
--- a/core/plan/sched.go
+++ b/core/plan/sched.go
@@ -1,7 +1,6 @@
 package plan
 
 import (
-	"math"
 	"sort"
 
 	"gypsumcrank/core/clock"
@@ -22,9 +21,6 @@
 func (a *ask) first() *unit  { return a.units[0] }
 func (a *ask) priority() int { return a.job().Priority }
 
-// lateAfter is how many times its objective a job may take and still earn.
-const lateAfter = 3
-
 // schedule places what can be placed, most urgent first, and makes room for
 // jobs of priority 0.
 func (p *Planner) schedule() {
@@ -118,45 +114,16 @@
 	if j.Timed() {
 		start = p.now.Steady - (p.now.Wall - j.Due(u.name.Occurrence))
 	}
-	objective := clock.Millis(j.Stretch*float64(p.chain(j))) + j.Target
+	objective := j.Objective(p.chain(j))
 	a.deadline = start + objective
-	a.last = start + lateAfter*objective
+	a.last = start + task.LateAfter*objective
 	a.late = p.now.Steady > a.last
 	return a
 }
 
-// fairShare is the part of all workers beyond which a step is expected to run
-// in waves.
-const fairShare = 0.25
-
-// chain is the estimated length of the job's longest path of steps, with steps
-// that are wider than a fair share of the workers in waves.
+// chain is the expected length of the job's longest path of steps.
 func (p *Planner) chain(j *job) clock.Millis {
-	ends := make([]clock.Millis, len(j.Steps))
-	var longest clock.Millis
-	for i := range j.Steps {
-		s := &j.Steps[i]
-		for _, b := range s.After {
-			ends[i] = max(ends[i], ends[b])
-		}
-		ends[i] += clock.Millis(p.waves(j.Service, s)) * p.expected(j, i)
-		longest = max(longest, ends[i])
-	}
-	return longest
-}
-
-// waves is in how many rounds a step runs on its fair share.
-func (p *Planner) waves(service string, s *task.Step) int {
-	total := p.total(service)
-	width := 0.0
-	for _, d := range [][2]int{
-		{s.Need.MilliCPU, total.MilliCPU}, {s.Need.MemoryMB, total.MemoryMB}, {s.Need.Accelerators, total.Accelerators},
-	} {
-		if d[1] > 0 {
-			width = max(width, float64(s.Count)*float64(d[0])/float64(d[1]))
-		}
-	}
-	return max(1, int(math.Ceil(width/fairShare)))
+	return j.Chain(p.total(j.Service), func(step int) clock.Millis { return p.expected(j, step) })
 }
 
 // total is the room of all workers of a service that are known.
--- a/internal/traces/main.go
+++ b/internal/traces/main.go
@@ -1,7 +1,8 @@
-// Command traces writes the recorded traces that core/replay's tests use. Each
-// has its own fixed seed, so that it comes out the same every time.
+// Command traces writes the recorded traces that the tests of core/replay and
+// core/plan use. Each has its own fixed seed, so that it comes out the same
+// every time. Run it at the root:
 //
-//	go run ./internal/traces core/replay/testdata
+//	go run ./internal/traces
 package main
 
 import (
@@ -26,10 +27,6 @@
 }
 
 func main() {
-	dir := "core/replay/testdata"
-	if len(os.Args) > 1 {
-		dir = os.Args[1]
-	}
 	traces := map[string]func(*maker){
 		"ordinary_day":   ordinaryDay,
 		"burst_small":    burstSmall,
@@ -44,29 +41,45 @@
 		"twice_capacity": twiceCapacity,
 		"target_day":     targetDay,
 	}
-	for name, make := range traces {
-		if err := write(dir, name, make); err != nil {
-			fmt.Fprintln(os.Stderr, "traces:", err)
-			os.Exit(1)
-		}
+	for name, build := range traces {
+		m := &maker{rng: source(name)}
+		build(m)
+		sort.SliceStable(m.events, func(i, j int) bool { return m.events[i].At < m.events[j].At })
+		write("core/replay/testdata", name, m.events)
+	}
+	for name, build := range loads {
+		m := &loadMaker{rng: source(name)}
+		build(m)
+		sort.SliceStable(m.events, func(i, j int) bool { return m.events[i].At < m.events[j].At })
+		write("core/load/testdata", name, m.events)
 	}
 }
 
-func write(dir, name string, build func(*maker)) error {
+// source is the random source of one trace.
+func source(name string) *rand.Rand {
 	seed := uint64(0)
 	for _, c := range name {
 		seed = seed*31 + uint64(c)
 	}
-	m := &maker{rng: rand.New(rand.NewPCG(seed, 1))}
-	build(m)
-	sort.SliceStable(m.events, func(i, j int) bool { return m.events[i].At < m.events[j].At })
-	f, err := os.Create(filepath.Join(dir, name+".jsonl"))
+	return rand.New(rand.NewPCG(seed, 1))
+}
+
+// write writes one event a line.
+func write[E any](dir, name string, events []E) {
+	if err := encode(filepath.Join(dir, name+".jsonl"), events); err != nil {
+		fmt.Fprintln(os.Stderr, "traces:", err)
+		os.Exit(1)
+	}
+}
+
+func encode[E any](path string, events []E) error {
+	f, err := os.Create(path)
 	if err != nil {
 		return err
 	}
 	defer f.Close()
 	enc := json.NewEncoder(f)
-	for _, e := range m.events {
+	for _, e := range events {
 		if err := enc.Encode(e); err != nil {
 			return err
 		}
