--- a/internal/traces/loads.go
+++ b/internal/traces/loads.go
@@ -69,46 +69,76 @@
 
 func (m *loadMaker) accelerators() int { return []int{1, 2, 4, 8, 8}[m.rng.IntN(5)] }
 
-// submit brings a job of one step.
-func (m *loadMaker) submit(at clock.Millis, queue string, priority int, s task.Step, takes clock.Millis) *load.Event {
+// submit brings a job whose tasks all take the same time.
+func (m *loadMaker) submit(at clock.Millis, queue string, priority int, takes clock.Millis, steps ...task.Step) *load.Event {
 	m.n++
-	j := &task.Job{ID: fmt.Sprintf("j%04d", m.n), Queue: queue, Account: fmt.Sprint("a", m.rng.IntN(4)), Priority: priority, Attempts: 3, Stretch: 3, Target: 1000, Steps: []task.Step{s}}
+	j := &task.Job{ID: fmt.Sprintf("j%04d", m.n), Queue: queue, Account: fmt.Sprint("a", m.rng.IntN(4)), Priority: priority, Attempts: 3, Stretch: 3, Target: 1000, Steps: steps}
 	switch queue {
 	case "swatch":
 		j.Stretch, j.Target = 1.5, 250
 	case "index":
 		j.Target = 3000
 	}
-	m.events = append(m.events, load.Event{At: at, Kind: load.Submit, Job: j, Takes: []clock.Millis{takes}})
+	e := load.Event{At: at, Kind: load.Submit, Job: j}
+	for range steps {
+		e.Takes = append(e.Takes, takes)
+	}
+	m.events = append(m.events, e)
 	return &m.events[len(m.events)-1]
 }
 
+// gang says whether a step's tasks run as one, and whether on one rack. Tasks
+// that need a whole worker never do, and the rest keep to half a rack.
+func (m *loadMaker) gang(s *task.Step, together, oneRack float64) {
+	if s.Need.Accelerators == wholeWorker || s.Count == 1 || m.rng.Float64() >= together {
+		return
+	}
+	s.Gang, s.SameRack = true, m.rng.Float64() < oneRack
+	s.Count = min(s.Count, max(2, mostInGang/s.Need.Accelerators))
+}
+
+const (
+	wholeWorker = 8  // accelerators
+	mostInGang  = 12 // accelerators
+)
+
 func (m *loadMaker) match(at clock.Millis) *load.Event {
 	takes := m.span(11000, 0.2, 11000)
-	return m.submit(at, "match", 1, task.Step{
-		Count: m.width(1.5, 9), Estimate: m.estimate(takes, 0.6), Gang: true, SameRack: m.rng.Float64() < 0.6, Checkpoints: m.rng.Float64() < 0.45,
+	s := task.Step{
+		Count: m.width(1.5, 9), Estimate: m.estimate(takes, 0.9), Checkpoints: m.rng.Float64() < 0.45,
 		Need: task.Room{MilliCPU: 52000, MemoryMB: 75000, Accelerators: m.accelerators()},
-	}, takes)
+	}
+	m.gang(&s, 0.5, 0.6)
+	return m.submit(at, "match", 1, takes, s)
 }
 
 func (m *loadMaker) swatch(at clock.Millis) *load.Event {
 	takes := m.span(2500, 0.5, 8000)
-	return m.submit(at, "swatch", 0, task.Step{
-		Count: m.width(3.4, 16), Estimate: m.estimate(takes, 0.2), Gang: true, SameRack: m.rng.Float64() < 0.8,
+	s := task.Step{
+		Count: m.width(3.4, 16), Estimate: m.estimate(takes, 0.2),
 		Need: task.Room{MilliCPU: 15000, MemoryMB: 31000, Accelerators: m.accelerators()},
-	}, takes)
+	}
+	m.gang(&s, 1, 0.8)
+	return m.submit(at, "swatch", 0, takes, s)
 }
 
+// index is batch work of one to three steps.
 func (m *loadMaker) index(at clock.Millis) *load.Event {
 	takes := m.span(9500, 0.2, 11000)
-	s := task.Step{
-		Count: m.width(9.2, 55), Estimate: m.estimate(takes, 0.4), Checkpoints: m.rng.Float64() < 0.45,
-		Need: task.Room{MilliCPU: 11000, MemoryMB: 23000, Accelerators: 1},
-	}
-	if m.rng.Float64() < 0.12 {
-		s.DataRack = fmt.Sprint("r", m.rng.IntN(4))
+	var steps []task.Step
+	for i := range m.width(1.3, 3) {
+		s := task.Step{
+			Count: m.width(9.2, 55), Estimate: m.estimate(takes, 0.5), Checkpoints: m.rng.Float64() < 0.45,
+			Need: task.Room{MilliCPU: 11000, MemoryMB: 23000, Accelerators: 1},
+		}
+		if i > 0 {
+			s.After = []int{i - 1}
+		} else if m.rng.Float64() < 0.12 {
+			s.MaxPerWorker = 1 + m.rng.IntN(2)
+		}
+		steps = append(steps, s)
 	}
-	return m.submit(at, "index", 2, s, takes)
+	return m.submit(at, "index", 2, takes, steps...)
 }
 
 // stream calls job at random times, rate times a second.
@@ -158,7 +188,7 @@
 	for range 8 {
 		m.index(0)
 	}
-	m.submit(5000, "swatch", 0, task.Step{Count: 16, Estimate: 2600, Need: task.Room{MilliCPU: 15000, MemoryMB: 31000, Accelerators: 8}}, 2500)
+	m.submit(5000, "swatch", 0, 2500, task.Step{Count: 16, Estimate: 2600, Need: task.Room{MilliCPU: 15000, MemoryMB: 31000, Accelerators: 8}})
 	m.stream(5000, 30*clock.Second, swatchRate, m.swatch)
 }
 
