The planner's rounds walk what changed, not all tasks

The profile: a typed error was made for each task name that was read, whether or not it was wrong (12 %); each report looked each row up by its parsed name, and compared its worker with all others; each tick walked all tasks for orders without an answer and for awaited ends; large waiting jobs searched all workers once for each task.

Now a worker keeps its tasks by name and those with an order under way apart, awaited tasks have a set of their own, older lives are looked for when a new one appears, and a waiting job weighs each worker once. A listed run whose name can't be read is noted instead of passed over.

Ruled out: reports of changed rows only; they are not needed for the processor, only for bytes.

--- a/core/plan/booking.go
+++ b/core/plan/booking.go
@@ -14,6 +14,7 @@
 	}
 	for v := range best.awaited {
 		if v.yields == 0 { // else its room counts as soon already
+			p.yielding[v] = true
 			b.soon[v.at] = b.soon[v.at].Plus(v.need())
 		}
 		v.yields = p.now.Steady + best.wait + yieldSlack
@@ -30,7 +31,7 @@
 	}
 	p.note(Note{Kind: "room_booked", Job: a.job().ID, Detail: best.summary(a)})
 	for _, v := range sortedUnits(best.victims) {
-		p.note(Note{Kind: "task_evicted", Job: v.job.ID, Task: v.name.String(), Worker: v.at.node, Run: v.run, Detail: "for " + a.job().ID})
+		p.note(Note{Kind: "task_evicted", Job: v.job.ID, Task: v.text, Worker: v.at.node, Run: v.run, Detail: "for " + a.job().ID})
 		p.stop(v)
 	}
 }
@@ -100,14 +101,19 @@
 }
 
 // checkYields stops tasks that should have ended for an ask by now.
-func (p *Planner) checkYields(w *worker) {
-	for u := range w.units {
-		if u.yields == 0 || p.now.Steady < u.yields {
-			continue
+func (p *Planner) checkYields() {
+	var over []*unit
+	for u := range p.yielding {
+		if p.now.Steady >= u.yields { // or its run has ended
+			over = append(over, u)
+			delete(p.yielding, u)
 		}
+	}
+	sortUnits(over)
+	for _, u := range over {
 		u.yields = 0
-		if u.phase == running && u.job.Priority > 0 && p.bookedOn(w) {
-			p.note(Note{Kind: "task_evicted", Job: u.job.ID, Task: u.name.String(), Worker: w.node, Run: u.run, Detail: "it did not end in time"})
+		if u.phase == running && u.job.Priority > 0 && p.bookedOn(u.at) {
+			p.note(Note{Kind: "task_evicted", Job: u.job.ID, Task: u.text, Worker: u.at.node, Run: u.run, Detail: "it did not end in time"})
 			p.stop(u)
 			p.breakGang(u)
 		}
--- a/core/plan/job.go
+++ b/core/plan/job.go
@@ -138,7 +138,8 @@
 			j.gangs = append(j.gangs, g)
 		}
 		for i := range step.Count {
-			u := &unit{job: j, step: step, gang: g, name: task.Name{Job: j.ID, Occurrence: k, Step: s, Index: i}, ready: p.now.Steady}
+			name := task.Name{Job: j.ID, Occurrence: k, Step: s, Index: i}
+			u := &unit{job: j, step: step, gang: g, name: name, text: name.String(), ready: p.now.Steady}
 			j.units = append(j.units, u)
 			j.index[u.name] = u
 			if g != nil {
--- a/core/plan/lists.go
+++ b/core/plan/lists.go
@@ -15,8 +15,8 @@
 		p.changed = true
 	}
 	p.applyEnds(w, m.Ended)
-	listed := p.applyRunning(w, m.Running)
-	for _, u := range w.missing(listed) {
+	p.applyRunning(w, m.Running)
+	for _, u := range w.missing() {
 		switch {
 		case u.phase == unsure:
 			// An earlier planner meant to start it, and the worker now refuses that planner.
@@ -25,7 +25,7 @@
 		case u.phase == stopping && u.answer > 0 && m.Results >= u.answer:
 			p.release(u)
 		case u.phase == running && u.answer > 0 && m.Results >= u.answer:
-			p.note(Note{Kind: "run_vanished", Job: u.job.ID, Task: u.name.String(), Worker: w.node, Run: u.run})
+			p.note(Note{Kind: "run_vanished", Job: u.job.ID, Task: u.text, Worker: w.node, Run: u.run})
 			p.stop(u)
 			p.breakGang(u)
 		}
@@ -34,10 +34,10 @@
 }
 
 // missing lists the tasks of a worker whose runs it does not list.
-func (w *worker) missing(listed map[*unit]bool) []*unit {
+func (w *worker) missing() []*unit {
 	var out []*unit
 	for u := range w.units {
-		if !listed[u] {
+		if u.seen != w.reports {
 			out = append(out, u)
 		}
 	}
@@ -159,39 +159,38 @@
 		}
 	}
 	if j.Attempts > 0 && fails >= j.Attempts {
-		p.endJob(j, task.Failed, "task "+u.name.String()+" failed too often")
+		p.endJob(j, task.Failed, "task "+u.text+" failed too often")
 		return
 	}
 	p.breakGang(u)
 }
 
-// applyRunning goes through the runs that the worker lists. It returns the
-// tasks whose current run is among them.
-func (p *Planner) applyRunning(w *worker, rows []RunningTask) map[*unit]bool {
-	listed := make(map[*unit]bool, len(rows))
-	foreign := make(map[string]task.Room)
+// applyRunning goes through the runs that the worker lists.
+func (p *Planner) applyRunning(w *worker, rows []RunningTask) {
+	w.reports++
+	had := len(w.foreign) > 0
+	clear(w.foreign)
 	for _, r := range rows {
-		name, err := task.ParseName(r.Task)
-		if err != nil {
-			continue
-		}
-		var u *unit
-		j := p.jobs[name.Job]
-		if j != nil {
-			u = j.index[name]
-		}
-		if u == nil || u.run != r.Run || u.at != w {
-			foreign[r.Task] = p.stopForeign(w, u, r)
-			continue
+		if u := w.named[r.Task]; u != nil && u.run == r.Run {
+			u.seen = w.reports
+			p.seeRunning(u, r)
+		} else if name, err := task.ParseName(r.Task); err == nil {
+			w.foreign[r.Task] = p.stopForeign(w, p.find(name), r)
+		} else {
+			p.note(Note{Kind: "run_unreadable", Worker: w.node, Run: r.Run, Detail: r.Task})
 		}
-		listed[u] = true
-		p.seeRunning(u, r)
 	}
-	if len(foreign) > 0 || len(w.foreign) > 0 {
+	if had || len(w.foreign) > 0 {
 		p.changed = true
 	}
-	w.foreign = foreign
-	return listed
+}
+
+// find looks a task up; nil if it is not known.
+func (p *Planner) find(name task.Name) *unit {
+	if j := p.jobs[name.Job]; j != nil {
+		return j.index[name]
+	}
+	return nil
 }
 
 // stopForeign stops a run that no current order accounts for, and returns the
--- a/core/plan/order.go
+++ b/core/plan/order.go
@@ -18,7 +18,7 @@
 		p.giveUp(u)
 		return
 	}
-	u.phase = starting
+	u.enter(starting)
 	if u.gang != nil && u.gang.begun == 0 {
 		u.gang.begun = p.now.Steady
 	}
@@ -29,9 +29,9 @@
 	w := u.at
 	u.tries++
 	u.asked = p.now.Steady
-	p.startSent(w, u.name.String(), u.run)
+	p.startSent(w, u.text, u.run)
 	p.out.Orders = append(p.out.Orders, Order{
-		Kind: OrderStart, Node: w.node, Life: w.life, Task: u.name.String(), Run: u.run,
+		Kind: OrderStart, Node: w.node, Life: w.life, Task: u.text, Run: u.run,
 		Payload: u.job.Payload, Checkpoint: u.saved, Until: p.until(w), Epoch: p.Epoch,
 	})
 }
@@ -42,7 +42,7 @@
 	case intended:
 		p.release(u)
 	case starting, running:
-		u.phase = stopping
+		u.enter(stopping)
 		u.answer = 0
 		p.sendStop(u)
 	}
@@ -51,7 +51,7 @@
 func (p *Planner) sendStop(u *unit) {
 	u.asked = p.now.Steady
 	p.out.Orders = append(p.out.Orders, Order{
-		Kind: OrderStop, Node: u.at.node, Life: u.at.life, Task: u.name.String(), Run: u.run, Epoch: p.Epoch,
+		Kind: OrderStop, Node: u.at.node, Life: u.at.life, Task: u.text, Run: u.run, Epoch: p.Epoch,
 	})
 }
 
@@ -68,7 +68,7 @@
 	if p.now.Steady-w.barsSent >= resendAfter {
 		p.sendBars(w)
 	}
-	for u := range w.units {
+	for u := range w.ordered {
 		if p.now.Steady-u.asked < resendAfter {
 			continue
 		}
@@ -88,7 +88,7 @@
 		p.sendStart(u)
 		return
 	}
-	p.note(Note{Kind: "start_unanswered", Job: u.job.ID, Task: u.name.String(), Worker: u.at.node, Run: u.run})
+	p.note(Note{Kind: "start_unanswered", Job: u.job.ID, Task: u.text, Worker: u.at.node, Run: u.run})
 	p.stop(u)
 	p.breakGang(u)
 }
@@ -140,7 +140,7 @@
 		p.stop(u)
 		p.breakGang(u)
 	default:
-		p.note(Note{Kind: "start_refused", Job: u.job.ID, Task: u.name.String(), Worker: u.at.node, Run: u.run, Detail: m.Reason})
+		p.note(Note{Kind: "start_refused", Job: u.job.ID, Task: u.text, Worker: u.at.node, Run: u.run, Detail: m.Reason})
 		u.at.restUntil = p.now.Steady + refusedRest
 		p.release(u)
 		p.breakGang(u)
@@ -152,7 +152,7 @@
 
 func (p *Planner) confirm(u *unit) {
 	if u.phase == starting || u.phase == unsure {
-		u.phase = running
+		u.enter(running)
 		u.since, u.moved = p.now.Steady, p.now.Steady
 	}
 }
--- a/core/plan/place.go
+++ b/core/plan/place.go
@@ -26,18 +26,22 @@
 		}
 		b.workers = append(b.workers, w)
 		b.free[w] = w.free()
-		soon := w.free()
-		for u := range w.units {
-			if u.phase == stopping || u.yields > 0 {
-				soon = soon.Plus(u.need())
+		b.soon[w] = b.free[w]
+		for u := range w.ordered {
+			if u.phase == stopping {
+				b.soon[w] = b.soon[w].Plus(u.need())
 			}
 		}
-		b.soon[w] = soon
 		if !racks[w.rack] {
 			racks[w.rack] = true
 			b.racks = append(b.racks, w.rack)
 		}
 	}
+	for u := range p.yielding {
+		if _, usable := b.free[u.at]; usable && u.yields > 0 && u.phase != stopping {
+			b.soon[u.at] = b.soon[u.at].Plus(u.need())
+		}
+	}
 	sort.Slice(b.workers, func(i, j int) bool { return b.workers[i].node < b.workers[j].node })
 	sort.Strings(b.racks)
 	for _, w := range b.workers {
@@ -291,31 +295,44 @@
 	if a.late || p.now.Steady-a.since < keepAfter {
 		return
 	}
+	could, lacks := p.couldHold(b, a.first())
 	for _, u := range a.units {
-		if w := p.soonest(b, u); w != nil {
-			b.free[w] = b.free[w].Minus(u.need())
-			b.soon[w] = b.soon[w].Minus(u.need())
+		best := -1
+		for i, l := range lacks {
+			if best < 0 || l < lacks[best] {
+				best = i
+			}
 		}
+		if best < 0 {
+			return
+		}
+		w := could[best]
+		b.free[w] = b.free[w].Minus(u.need())
+		b.soon[w] = b.soon[w].Minus(u.need())
+		lacks[best] = lack(b, w, u)
+	}
+}
+
+// lack is what a worker lacks for a task, in cores; in the wrong place more
+// than any worker could.
+func lack(b *board, w *worker, u *unit) float64 {
+	l := lacking(u.need(), b.soon[w]).Cores()
+	if u.step.DataRack != "" && w.rack != u.step.DataRack {
+		l += farCost
 	}
+	return l
 }
 
-// soonest is the worker that lacks least for a task.
-func (p *Planner) soonest(b *board, u *unit) *worker {
-	var best *worker
-	bestLack := 0.0
+// couldHold lists the workers that may run a task once they have room, and
+// what each lacks now.
+func (p *Planner) couldHold(b *board, u *unit) (workers []*worker, lacks []float64) {
 	for _, w := range b.workers {
-		if !p.allowed(w, u) || !u.need().Fits(w.capacity) {
-			continue
-		}
-		lack := lacking(u.need(), b.soon[w]).Cores()
-		if u.step.DataRack != "" && w.rack != u.step.DataRack {
-			lack += farCost
-		}
-		if best == nil || lack < bestLack {
-			best, bestLack = w, lack
+		if p.allowed(w, u) && u.need().Fits(w.capacity) {
+			workers = append(workers, w)
+			lacks = append(lacks, lack(b, w, u))
 		}
 	}
-	return best
+	return workers, lacks
 }
 
 // lacking is what is missing of a need.
--- a/core/plan/plan.go
+++ b/core/plan/plan.go
@@ -48,9 +48,11 @@
 	jobs       map[string]*job
 	workers    map[task.Life]*worker
 	byNode     map[string]*worker
+	lives      int                 // how many lives of workers were ever known
 	lengths    map[string]*lengths // by queue
 	writing    *flight
 	seq        int
+	yielding   map[*unit]bool // tasks whose end others wait for
 	dirty      []*job
 	lastUrgent clock.Millis         // when the last job of priority 0 came
 	looked     clock.Millis         // when waiting work was last looked at
@@ -112,6 +114,7 @@
 	p.byNode = make(map[string]*worker)
 	p.lengths = make(map[string]*lengths)
 	p.totals = make(map[string]task.Room)
+	p.yielding = make(map[*unit]bool)
 }
 
 func (p *Planner) note(n Note) { p.out.Notes = append(p.out.Notes, n) }
@@ -125,8 +128,8 @@
 	for _, w := range p.workers {
 		p.checkLease(w)
 		p.resend(w)
-		p.checkYields(w)
 	}
+	p.checkYields()
 	for _, j := range p.jobs {
 		p.checkDue(j)
 		p.collect(j)
--- a/core/plan/unit.go
+++ b/core/plan/unit.go
@@ -26,6 +26,7 @@
 	step  *task.Step
 	gang  *gang
 	name  task.Name
+	text  string       // the name, written out
 	ready clock.Millis // since when it could have been placed
 
 	run   int     // number of the current or last run
@@ -40,6 +41,7 @@
 	tries   int          // starts sent for this run
 	doubt   bool         // a start of this run may still be on its way
 	answer  int64        // the side's count when the last order was accepted, 0 if not yet
+	seen    int          // the worker's last report that listed the run
 	percent int
 	moved   clock.Millis       // when percent last changed
 	since   clock.Millis       // when the run was confirmed
@@ -51,12 +53,35 @@
 }
 
 func (u *unit) occupy(w *worker, ph phase) {
-	u.at, u.phase = w, ph
+	u.at = w
+	u.enter(ph)
 	u.tries, u.doubt, u.answer, u.asked, u.percent, u.since, u.yields = 0, false, 0, 0, 0, 0, 0
 	w.units[u] = true
+	w.named[u.text] = u
 	w.used = w.used.Plus(u.need())
 }
 
+// vacate takes the task off its worker.
+func (u *unit) vacate() {
+	w := u.at
+	delete(w.units, u)
+	delete(w.named, u.text)
+	delete(w.ordered, u)
+	w.used = w.used.Minus(u.need())
+	u.at, u.phase, u.yields = nil, idle, 0
+}
+
+// enter moves the task's run on, and keeps track of the runs with an order
+// under way.
+func (u *unit) enter(ph phase) {
+	u.phase = ph
+	if ph == starting || ph == stopping {
+		u.at.ordered[u] = true
+	} else {
+		delete(u.at.ordered, u)
+	}
+}
+
 // need is the room that the task counts for; backfill takes what is left.
 func (u *unit) need() task.Room {
 	n := u.step.Need
@@ -71,9 +96,7 @@
 	if u.at == nil {
 		return
 	}
-	delete(u.at.units, u)
-	u.at.used = u.at.used.Minus(u.need())
-	u.at, u.phase = nil, idle
+	u.vacate()
 	u.ready = p.now.Steady
 	p.touch(u.job)
 	p.changed = true
@@ -94,7 +117,7 @@
 		u.job.state = task.Running
 	}
 	p.touch(u.job)
-	p.note(Note{Kind: "task_placed", Job: u.job.ID, Task: u.name.String(), Worker: w.node, Run: run})
+	p.note(Note{Kind: "task_placed", Job: u.job.ID, Task: u.text, Worker: w.node, Run: run})
 }
 
 // giveUp takes back a start of which no order was sent.
@@ -133,7 +156,7 @@
 			if whole {
 				g.begun = 0
 			} else if late != nil {
-				p.note(Note{Kind: "gang_not_whole", Job: j.ID, Task: late.name.String(), Worker: late.at.node, Run: late.run})
+				p.note(Note{Kind: "gang_not_whole", Job: j.ID, Task: late.text, Worker: late.at.node, Run: late.run})
 				p.stop(late)
 				p.breakGang(late)
 			}
--- a/core/plan/worker.go
+++ b/core/plan/worker.go
@@ -17,9 +17,13 @@
 	capacity task.Room
 	used     task.Room
 	units    map[*unit]bool
+	named    map[string]*unit     // the same by name
+	ordered  map[*unit]bool       // those with an order under way
+	reports  int                  // how many lists it has given
 	foreign  map[string]task.Room // runs that it lists and nobody ordered
 
 	joined   bool // it has reported to this planner
+	compared int  // the planner's count of lives when older ones were last looked for
 	linked   bool
 	fenced   bool // it has answered under this epoch
 	dead     bool
@@ -43,8 +47,9 @@
 }
 
 func (p *Planner) newWorker(life task.Life) *worker {
-	w := &worker{life: life, units: make(map[*unit]bool), foreign: make(map[string]task.Room), recorded: make(map[int64]bool), open: make(map[string]*openStart), bars: make(map[string]*bar)}
+	w := &worker{life: life, units: make(map[*unit]bool), named: make(map[string]*unit), ordered: make(map[*unit]bool), foreign: make(map[string]task.Room), recorded: make(map[int64]bool), open: make(map[string]*openStart), bars: make(map[string]*bar)}
 	p.workers[life] = w
+	p.lives++
 	return w
 }
 
@@ -191,6 +196,10 @@
 			p.changed = true
 		}
 	}
+	if w.compared == p.lives {
+		return w
+	}
+	w.compared = p.lives
 	for _, o := range p.workers {
 		if o != w && !o.dead && (o.life.ID == w.life.ID || o.node == w.node) && o.life.Born < w.life.Born {
 			p.succeed(o, w)
@@ -207,8 +216,7 @@
 			if u.phase == intended {
 				continue
 			}
-			delete(old.units, u)
-			old.used = old.used.Minus(u.need())
+			u.vacate()
 			u.occupy(w, stopping)
 			p.touch(u.job)
 			p.sendStop(u)
--- a/core/task/task.go
+++ b/core/task/task.go
@@ -158,15 +158,17 @@
 // ParseName reads what String wrote.
 func ParseName(s string) (Name, error) {
 	parts := strings.Split(s, ".")
-	bad := fault.New(fault.Invalid, "name tasks as job.occurrence.step.index", "%q is no task name", s)
+	bad := func() error {
+		return fault.New(fault.Invalid, "name tasks as job.occurrence.step.index", "%q is no task name", s)
+	}
 	if len(parts) != 4 || parts[0] == "" {
-		return Name{}, bad
+		return Name{}, bad()
 	}
 	var nums [3]int
 	for i, p := range parts[1:] {
 		n, err := strconv.Atoi(p)
 		if err != nil || n < 0 {
-			return Name{}, bad
+			return Name{}, bad()
 		}
 		nums[i] = n
 	}
