The soak stands between fronts and sides too, and runs at any size

Cause: proxies stood before the store and the workers only, so no fault ever hit the connections on which reports, orders and leases go, nor those between fronts. A front told others the address it listens at, which left no place for a proxy.

The soak gives each front a proxy there; GYPSUMCRANK_SOAK_SIZE sets the numbers of fronts and sides, with more faults at a time the more processes there are.

No fault was found, so no mend is in this change.

--- a/cmd/gypsumcrank/front.go
+++ b/cmd/gypsumcrank/front.go
@@ -22,7 +22,10 @@
 	"gypsumcrank/platform"
 )
 
-type frontCmd struct{ platformFlags }
+type frontCmd struct {
+	platformFlags
+	Announce string `env:"GYPSUMCRANK_ANNOUNCE" help:"Address at which other processes reach this front, if not where it listens: IP:PORT."`
+}
 
 // frontDaemon is a front with its services.
 type frontDaemon struct {
@@ -39,11 +42,15 @@
 	seeds   atomic.Pointer[[]string] // where other fronts may be, from the settings
 	leaving atomic.Bool
 	metrics string // where metrics are shown
+	self    string // where other processes reach this front
 }
 
-func newFrontDaemon(set platform.Settings, log *slog.Logger) *frontDaemon {
+func newFrontDaemon(set platform.Settings, announce string, log *slog.Logger) *frontDaemon {
 	direct := platform.NewKV(set.Store)
-	d := &frontDaemon{set: set, log: log, config: &route.Current{}}
+	d := &frontDaemon{set: set, log: log, config: &route.Current{}, self: announce}
+	if d.self == "" {
+		d.self = set.Link
+	}
 	d.seeds.Store(&set.Peers)
 	d.index = &front.Index{Log: log}
 	d.relay = &relay.Relay{Direct: direct, Peers: d.peers, Log: log}
@@ -51,7 +58,7 @@
 	d.jobs = &mirror.Mirror{Prefix: store.Root, Store: d.keeper, Log: log, See: d.index.See}
 	d.ops = &mirror.Mirror{Prefix: platform.ConfigRoot, Store: d.keeper, Log: log, See: d.seeConfig}
 	d.steer = &steer.Steer{
-		Node: set.Node, Addr: set.Link, Store: d.keeper, Mirror: d.jobs, Index: d.index, Config: d.config, Plan: planSettings(set), LeaseMin: set.LeaseMin, Log: log,
+		Node: set.Node, Addr: set.Link, Announce: d.self, Store: d.keeper, Mirror: d.jobs, Index: d.index, Config: d.config, Plan: planSettings(set), LeaseMin: set.LeaseMin, Log: log,
 		Relay: func(c *link.Conn, first link.Frame) { relay.Serve(c, direct, d.jobs.Nudge, first) },
 		Ended: d.tellAll,
 	}
@@ -64,7 +71,7 @@
 // tellPlanner passes on news to the front that plans.
 func (d *frontDaemon) tellPlanner(rev int64) {
 	d.jobs.Nudge(rev)
-	if addr, _ := d.steer.Planner(); addr != "" && addr != d.set.Link {
+	if addr, _ := d.steer.Planner(); addr != "" && addr != d.self {
 		d.relay.Tell(addr, rev)
 	}
 }
@@ -73,7 +80,7 @@
 func (d *frontDaemon) tellAll(rev int64) {
 	d.jobs.Nudge(rev)
 	for _, addr := range d.index.Fronts() {
-		if addr != d.set.Link {
+		if addr != d.self {
 			d.relay.Tell(addr, rev)
 		}
 	}
@@ -84,7 +91,7 @@
 	var out []string
 	seeds := *d.seeds.Load()
 	for _, a := range append(d.index.Fronts(), seeds...) {
-		if a != d.set.Link && !slices.Contains(out, a) {
+		if a != d.self && !slices.Contains(out, a) {
 			out = append(out, a)
 		}
 	}
@@ -106,7 +113,7 @@
 }
 
 func (d *frontDaemon) run(ctx context.Context) error {
-	d.log.Info("process_start", "role", "front", "front", d.set.Front, "link", d.set.Link)
+	d.log.Info("process_start", "role", "front", "front", d.set.Front, "link", d.set.Link, "announced", d.self)
 	k := &kern.Kernel{Log: d.log}
 	k.Add("store", d.relay)
 	k.Add("jobs", d.jobs)
@@ -188,7 +195,7 @@
 	old, _ := d.jobs.Get(key)
 	res, err := d.keeper.Commit(ctx, store.Txn{
 		If:  []store.Condition{{Key: key, Rev: old.Rev}},
-		Put: []store.Item{{Key: key, Value: []byte(d.set.Link), Lease: lease}},
+		Put: []store.Item{{Key: key, Value: []byte(d.self), Lease: lease}},
 	})
 	if err != nil || !res.Held {
 		d.log.Debug("front_not_registered", "held", res.Held, "error", err)
--- a/cmd/gypsumcrank/platform.go
+++ b/cmd/gypsumcrank/platform.go
@@ -58,10 +58,13 @@
 	if err := checkAddr("metrics-listen", c.MetricsListen); err != nil {
 		return err
 	}
+	if err := checkAddr("announce", c.Announce); err != nil {
+		return err
+	}
 	limitRuntime(set.MemoryMB)
 	ctx, stop := untilSignal()
 	defer stop()
-	f := newFrontDaemon(set, log.With("process", set.Node))
+	f := newFrontDaemon(set, c.Announce, log.With("process", set.Node))
 	f.metrics = c.MetricsListen
 	return f.run(ctx)
 }
--- a/cmd/gypsumcrank/platform_test.go
+++ b/cmd/gypsumcrank/platform_test.go
@@ -74,12 +74,13 @@
 
 // daemon is one process of the system.
 type daemon struct {
-	role  string
-	path  string // of its settings
-	cmd   *exec.Cmd
-	addr  string // where callers, or its executor, connect
-	ready string
-	out   *syncBuffer
+	role     string
+	path     string // of its settings
+	cmd      *exec.Cmd
+	addr     string // where callers, or its executor, connect
+	ready    string
+	out      *syncBuffer
+	announce string // where other processes connect, for a front
 }
 
 // syncBuffer keeps what a process writes.
@@ -209,6 +210,11 @@
 		return err
 	}
 	d := &daemon{role: role, path: filepath.Join(s.dir, name+".json"), addr: addr, ready: ready, out: &syncBuffer{}}
+	if role == "front" {
+		if d.announce, err = s.through(name+"-link", link); err != nil {
+			return err
+		}
+	}
 	if err := os.WriteFile(d.path, raw, 0o600); err != nil {
 		return err
 	}
@@ -221,7 +227,7 @@
 
 func (d *daemon) run() error {
 	d.cmd = exec.Command("gypsumcrank", d.role)
-	d.cmd.Env = append(os.Environ(), platform.SettingsVar+"="+d.path)
+	d.cmd.Env = append(os.Environ(), platform.SettingsVar+"="+d.path, "GYPSUMCRANK_ANNOUNCE="+d.announce)
 	d.cmd.Stdout, d.cmd.Stderr = d.out, d.out
 	return d.cmd.Start()
 }
--- a/cmd/gypsumcrank/soak_test.go
+++ b/cmd/gypsumcrank/soak_test.go
@@ -17,14 +17,20 @@
 // soakSeedsVar names the variable that holds the seeds to run, such as 100-149.
 const soakSeedsVar = "GYPSUMCRANK_SOAK_SEEDS"
 
+// soakSizeVar names the variable that holds the numbers of fronts and sides,
+// such as 8,200; a few hundred processes are the most.
+const soakSizeVar = "GYPSUMCRANK_SOAK_SIZE"
+
 // The seeds of CI: a short run, and each seed that ever failed with its cause.
 var soakSeeds = []uint64{1, 2}
 
 // Bounds of one soak.
 const (
-	soakTime  = 7 * time.Second
-	soakEnd   = 45.0 // seconds in which all accepted jobs have to end once all is well again
-	soakSides = 4
+	soakTime = 7 * time.Second
+	soakEnd  = 45.0  // seconds in which all accepted jobs have to end once all is well again
+	soakSize = "3,4" // fronts and sides
+	// crowd is the number of processes for which one more thing happens at a time.
+	crowd = 14
 )
 
 // TestSoak runs real processes through series of faults that overlap, and
@@ -80,11 +86,18 @@
 		refused: map[string]bool{}, heal: map[string]time.Time{}, mute: map[string]*atomic.Bool{},
 	}
 	defer s.close()
-	if err := s.start([]string{"3", strconv.Itoa(soakSides), strconv.Itoa(200 + s.r.IntN(1200))}); err != nil {
+	size := os.Getenv(soakSizeVar)
+	if size == "" {
+		size = soakSize
+	}
+	fronts, sides, _ := strings.Cut(size, ",")
+	if err := s.start([]string{fronts, sides, strconv.Itoa(200 + s.r.IntN(1200))}); err != nil {
 		t.Fatal(err)
 	}
 	for end := time.Now().Add(soakTime); time.Now().Before(end); {
-		s.act()
+		for range 1 + len(s.procs)/crowd {
+			s.act()
+		}
 		s.mend(time.Now())
 		time.Sleep(time.Duration(50+s.r.IntN(250)) * time.Millisecond)
 	}
--- a/io/steer/steer.go
+++ b/io/steer/steer.go
@@ -54,7 +54,9 @@
 // Steer is the service. Set the exported fields before Start.
 type Steer struct {
 	Node   string
-	Addr   string // where sides connect
+	Addr   string // where it listens for other processes
+	// Announce is where other processes connect.
+	Announce string
 	Store  store.Keeper
 	Mirror *mirror.Mirror // of store.Root
 	Index  *front.Index
@@ -155,7 +157,7 @@
 		s.Log.Debug("election_no_lease", "error", err)
 		return
 	}
-	value, err := json.Marshal(planner{Node: s.Node, Addr: s.Addr, Nonce: rand.Uint64()})
+	value, err := json.Marshal(planner{Node: s.Node, Addr: s.Announce, Nonce: rand.Uint64()})
 	if err != nil {
 		s.Log.Error("election_value", "error", err)
 		return
@@ -245,7 +247,7 @@
 func (s *Steer) welcome(t *term) *link.Welcome {
 	w := &link.Welcome{Fronts: s.Index.Fronts()}
 	if t != nil {
-		w.Planner, w.Epoch, w.Addr = true, t.epoch, s.Addr
+		w.Planner, w.Epoch, w.Addr = true, t.epoch, s.Announce
 		return w
 	}
 	w.Addr, w.Epoch = s.Planner()
