--- a/io/mirror/mirror.go
+++ b/io/mirror/mirror.go
@@ -21,9 +21,13 @@
 	pollWait = 1500 * clock.Millisecond
 	// retryPause is the wait after a failed call.
 	retryPause = 100 * time.Millisecond
-	// newsWait is how long a watch may take to bring what is known to be written;
-	// with a store that answers within 4 ms it takes less than 20.
+	// newsWait is how long a watch that was quiet may take to bring what is known
+	// to be written; with a store that answers within 4 ms it takes less than 20.
 	newsWait = 50 * clock.Millisecond
+	// silentFor is how long a watch must have brought nothing at all to count as
+	// silent; one that is only behind catches up sooner than a list of 1 MB, which
+	// takes 0.8 s at 10 Mbit/s.
+	silentFor = 200 * clock.Millisecond
 	// listPause is the least time between two lists for that reason.
 	listPause = clock.Second
 )
@@ -99,7 +103,11 @@
 		return
 	}
 	now := clock.System().Steady()
-	if pause := m.listed + listPause - now; m.listed > 0 && pause > 0 {
+	pause := m.heard + silentFor - now
+	if m.listed > 0 {
+		pause = max(pause, m.listed+listPause-now)
+	}
+	if pause > 0 {
 		time.AfterFunc(pause.Duration(), m.hurry)
 		return
 	}
