gypsumcrank load plays a recorded load on stand-ins of the users' platform

Cause: the demo shows the product's own deployment only; the path on the users' platform could be tried with the kit alone, and the replay of core/plan models no process. Somebody who brings a load of their own had nothing to run.

The stand-in of an executor has rooms, lengths, failures, progress and checkpoints for that.

Ruled out: sending the jobs as HTTP requests; their bodies are the platform's words, which stay in platform/.

--- a/cmd/gypsumcrank/main.go
+++ b/cmd/gypsumcrank/main.go
@@ -41,6 +41,7 @@
 	Timeline timelineCmd `cmd:"" help:"Show the events of all processes in order."`
 	Keys     keysCmd     `cmd:"" help:"Make keys, certificates and tokens."`
 	Settings settingsCmd `cmd:"" help:"Look after settings files."`
+	Load     loadCmd     `cmd:"" help:"Play a recorded load on stand-ins of the users' platform, in real time, and show what its callers got."`
 	Replay   replayCmd   `cmd:"" help:"Feed a recorded trace through the decisions and show what they lead to."`
 }
 
--- a/cmd/gypsumcrank/platform.go
+++ b/cmd/gypsumcrank/platform.go
@@ -82,20 +82,26 @@
 	ctx, stop := untilSignal()
 	defer stop()
 	log.Info("process_start", "role", "side", "control", set.Control, "worker", set.Worker)
-	s := &side.Side{Node: set.Node, Fronts: set.Peers, Store: platform.NewKV(set.Store), Worker: platform.NewWorker(set.Worker), Log: log}
-	beats := &httpd.Server{Addr: set.Control, Log: log}
-	platform.Beats(beats, s)
+	k, s := newSide(set, log)
 	settings := &reloader{current: set, log: log, apply: func(set platform.Settings) { s.Learn(set.Peers) }}
 	go settings.run(ctx)
-	k := &kern.Kernel{Log: log}
-	k.Add("side", s)
-	k.Add("beats", beats)
 	addMetrics(k, c.MetricsListen, log)
 	err = k.Run(ctx)
 	log.Info("process_stop", "error", err)
 	return err
 }
 
+// newSide puts the services of a side together.
+func newSide(set platform.Settings, log *slog.Logger) (*kern.Kernel, *side.Side) {
+	s := &side.Side{Node: set.Node, Fronts: set.Peers, Store: platform.NewKV(set.Store), Worker: platform.NewWorker(set.Worker), Log: log}
+	beats := &httpd.Server{Addr: set.Control, Log: log}
+	platform.Beats(beats, s)
+	k := &kern.Kernel{Log: log}
+	k.Add("side", s)
+	k.Add("beats", beats)
+	return k, s
+}
+
 // addMetrics shows the process's metrics as text, where an address is given.
 func addMetrics(k *kern.Kernel, addr string, log *slog.Logger) {
 	if addr == "" {
--- a/internal/standin/plat/executor.go
+++ b/internal/standin/plat/executor.go
@@ -8,6 +8,8 @@
 	"strings"
 	"sync"
 	"time"
+
+	"gypsumcrank/core/task"
 )
 
 // Executor is the stand-in of one executor; it is an http.Handler for its
@@ -16,8 +18,19 @@
 	ID      string
 	Service string
 	Rack    string
+	// Room is what the worker holds; 128 cores, 256 GB and 8 accelerators if empty.
+	Room task.Room
 	// Takes is how long a task runs.
 	Takes time.Duration
+	// Length, if set, is how long this run of a task runs, instead of Takes.
+	Length func(task string) time.Duration
+	// Fails, if set, tells whether a run that has done its work ends failed.
+	Fails func(task string) bool
+	// Saves, if set, tells whether a task's checkpoint keeps what it has done.
+	Saves func(task string) bool
+	// Lost, if set, is told of runs that ended without being done or saved, and
+	// how long they had run.
+	Lost func(task string, ran time.Duration)
 	// Mute leaves orders without an answer, after they were carried out.
 	Mute func() bool
 	// Judge, if set, is told what happens here.
@@ -40,6 +53,22 @@
 type execRun struct {
 	run   int
 	timer *time.Timer
+	began time.Time // earlier than its start by what a checkpoint had saved
+	takes time.Duration
+	saves bool
+}
+
+// percent is how far the run has come.
+func (r *execRun) percent() int {
+	return int(100 * time.Since(r.began) / max(1, r.takes))
+}
+
+// saved is the run's checkpoint, empty if it has none.
+func (r *execRun) saved() string {
+	if !r.saves {
+		return ""
+	}
+	return time.Since(r.began).String()
 }
 
 // NewExecutor makes an executor that runs tasks for a while each.
@@ -76,9 +105,13 @@
 func (e *Executor) Beat(control, state string) (int, error) {
 	e.mu.Lock()
 	e.seq++
+	room := e.Room
+	if room == (task.Room{}) {
+		room = task.Room{MilliCPU: 128000, MemoryMB: 262144, Accelerators: 8}
+	}
 	body := map[string]any{
 		"service": e.Service, "address": "127.0.0.1:1", "zone": "z", "version": "v1", "slots": 8, "state": state, "cold_left_ms": 0,
-		"capacity": map[string]int{"cpu": 128000, "mem_mb": 262144, "gpu": 8}, "labels": []string{"a", e.Rack},
+		"capacity": map[string]int{"cpu": room.MilliCPU, "mem_mb": room.MemoryMB, "gpu": room.Accelerators}, "labels": []string{"a", e.Rack},
 		"clock_ms": e.clock(), "seq_no": e.seq, "born": e.born.UnixMilli(), "remaining_ms": 2000,
 	}
 	e.mu.Unlock()
@@ -121,6 +154,7 @@
 	Until int64  `json:"until_ms"`
 	Seen  int64  `json:"last_seen"`
 	Wait  int    `json:"wait_ms"`
+	Saved string `json:"checkpoint"`
 }
 
 // ServeHTTP answers one order.
@@ -188,17 +222,34 @@
 	if e.Judge != nil {
 		e.Judge.start(o.Task, strings.SplitN(o.Task, ".", 2)[0], e.ID)
 	}
-	e.runs[o.Task] = &execRun{run: o.Run, timer: time.AfterFunc(e.Takes, func() {
-		e.mu.Lock()
-		defer e.mu.Unlock()
-		if r := e.runs[o.Task]; r != nil && r.run == o.Run {
-			e.done[o.Task]++
-			e.end(o.Task, o.Run, "done")
-		}
-	})}
+	takes := e.Takes
+	if e.Length != nil {
+		takes = e.Length(o.Task)
+	}
+	r := &execRun{run: o.Run, began: time.Now(), takes: takes, saves: e.Saves != nil && e.Saves(o.Task)}
+	if done, err := time.ParseDuration(o.Saved); err == nil {
+		r.began = r.began.Add(-done)
+	}
+	r.timer = time.AfterFunc(takes-time.Since(r.began), func() { e.finish(o.Task, r) })
+	e.runs[o.Task] = r
 	e.reply(w, map[string]any{})
 }
 
+// finish ends a run that has done its work.
+func (e *Executor) finish(task string, r *execRun) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.runs[task] != r {
+		return
+	}
+	if e.Fails != nil && e.Fails(task) {
+		e.end(task, r.run, "failed")
+		return
+	}
+	e.done[task]++
+	e.end(task, r.run, "done")
+}
+
 func (e *Executor) stop(task string, run int) {
 	e.barred[task] = max(e.barred[task], run)
 	if r := e.runs[task]; r != nil && r.run <= run {
@@ -208,13 +259,20 @@
 }
 
 func (e *Executor) end(task string, run int, how string) {
+	saved := ""
+	if r := e.runs[task]; r != nil {
+		saved = r.saved()
+		if how != "done" && saved == "" && e.Lost != nil {
+			e.Lost(task, time.Since(r.began))
+		}
+	}
 	delete(e.runs, task)
 	if e.Judge != nil {
 		e.Judge.end(task, e.ID)
 	}
 	e.barred[task] = max(e.barred[task], run)
 	e.number++
-	e.ends = append(e.ends, []any{e.number, task, run, how, ""})
+	e.ends = append(e.ends, []any{e.number, task, run, how, saved})
 	e.wake()
 }
 
@@ -240,7 +298,7 @@
 	}
 	running := [][]any{}
 	for name, run := range e.runs {
-		running = append(running, []any{name, run.run, "", 50, 1})
+		running = append(running, []any{name, run.run, run.saved(), run.percent(), 1})
 	}
 	e.reply(w, map[string]any{"running": running, "ended": append([][]any{}, e.ends...)})
 }
--- a/io/steer/steer.go
+++ b/io/steer/steer.go
@@ -53,15 +53,15 @@
 
 // Steer is the service. Set the exported fields before Start.
 type Steer struct {
-	Node   string
-	Addr   string // where it listens for other processes
+	Node string
+	Addr string // where it listens for other processes
 	// Announce is where other processes connect.
 	Announce string
-	Store  store.Keeper
-	Mirror *mirror.Mirror // of store.Root
-	Index  *front.Index
-	Config *route.Current
-	Plan   plan.Settings
+	Store    store.Keeper
+	Mirror   *mirror.Mirror // of store.Root
+	Index    *front.Index
+	Config   *route.Current
+	Plan     plan.Settings
 	// LeaseMin is the shortest lease that the store gives.
 	LeaseMin clock.Millis
 	Clock    clock.Clock
