Work keeps off workers where nothing moves, and urgent work leaves them

Nothing fails there, so nothing spoke against these workers: five urgent jobs that came meanwhile were put there and were late.

A worker whose running tasks have all made no progress for two reports (or a thirtieth of their length) now comes last for new work, as one whose last run failed does; a task that needs it still gets it. Urgent tasks there are stopped and begin anew elsewhere if their jobs still end in time that way.

Ruled out: leaving such workers out altogether; where only they have room, work would wait for nothing.

--- a/core/plan/health.go
+++ b/core/plan/health.go
@@ -40,3 +40,52 @@
 
 // suspect tells whether its last run failed.
 func (h *health) suspect() bool { return h.streak > 0 }
+
+const (
+	// stillFor is how long a task's progress must have stood still to count; a
+	// worker reports at least each 0.8 s, so this is two reports.
+	stillFor = 1600 * clock.Millisecond
+	// stillPart is that as a part of the task's length, since progress comes in
+	// percent: some of them are due in that time.
+	stillPart = 30
+)
+
+// standsStill tells whether nothing moves on a worker that runs something: all
+// its tasks are under way, and none has come further for a while.
+func (p *Planner) standsStill(w *worker) bool {
+	still := false
+	for u := range w.units {
+		if u.phase != running || u.step.Service {
+			continue
+		}
+		due := max(stillFor, p.expected(u.job, u.name.Step)/stillPart)
+		if p.now.Steady-u.moved < due {
+			return false
+		}
+		still = true
+	}
+	return still
+}
+
+// leaveStill stops urgent tasks on workers where nothing moves, if they can
+// begin anew elsewhere and their jobs still end in time.
+func (p *Planner) leaveStill() {
+	for _, w := range p.workers {
+		if w.dead || !p.standsStill(w) {
+			continue
+		}
+		for _, u := range w.sorted() {
+			if u.phase != running || u.job.Priority > 0 || u.job.state.Ended() || u.step.Service {
+				continue
+			}
+			u.shun(w)
+			a := p.newAsk(wholeGang(u))
+			if p.now.Steady+p.Settings.StopTime+p.expected(u.job, u.name.Step) > a.deadline || !p.elsewhere(u) {
+				continue
+			}
+			p.note(Note{Kind: "task_moved", Job: u.job.ID, Task: u.text, Worker: w.node, Run: u.run, Detail: "nothing moves on its worker"})
+			p.stop(u)
+			p.breakGang(u)
+		}
+	}
+}
--- a/core/plan/load_test.go
+++ b/core/plan/load_test.go
@@ -192,3 +192,33 @@
 	f.finish(60_000)
 	qt.Check(t, f.planner.(*plan.Planner).Expect("match", 2000), qt.Equals, clock.Millis(2000))
 }
+
+// Tasks stand still on some workers for seconds (scale-2 of the grown cedarleaf:
+// 8 of 50 for 5 s; five urgent jobs that came meanwhile were put there and were
+// late). Where nothing moves, new work goes last.
+func TestUrgentJobsKeepOffWorkersWhereNothingMoves(t *testing.T) {
+	f := newFleet(t, 4, 2, room)
+	for i := range 2 {
+		f.submit(indexing(fmt.Sprint("grain", i), 3))
+	}
+	f.run(2000)
+	stuck := map[string]bool{}
+	for _, h := range f.hosts {
+		if len(h.runs) > 0 {
+			stuck[h.node] = true
+		}
+	}
+	f.slow = func(h *host) float64 {
+		if stuck[h.node] && f.now < 1_009_000 {
+			return 1e6
+		}
+		return 1
+	}
+	f.run(2500)
+	c := qt.New(t)
+	c.Assert(len(stuck) < 4, qt.IsTrue)
+	f.submit(render("swatch", 2, 1, 1500))
+	f.finish(60_000)
+	took := f.finished["swatch"] - f.jobs["swatch"].Accepted
+	c.Check(took < 1.5*1500+250, qt.IsTrue, qt.Commentf("took %s", took))
+}
--- a/core/plan/place.go
+++ b/core/plan/place.go
@@ -25,6 +25,7 @@
 			continue
 		}
 		b.workers = append(b.workers, w)
+		w.still = p.standsStill(w)
 		b.free[w] = w.free()
 		b.soon[w] = b.free[w]
 		for u := range w.ordered {
@@ -279,7 +280,7 @@
 	if u.step.DataRack != "" && w.rack != u.step.DataRack {
 		cost += farCost
 	}
-	if w.health.suspect() {
+	if w.health.suspect() || w.still {
 		cost += suspectCost
 	}
 	return cost
--- a/core/plan/plan.go
+++ b/core/plan/plan.go
@@ -136,6 +136,7 @@
 	}
 	p.checkGangs()
 	if p.now.Steady-p.looked >= lookEvery {
+		p.leaveStill()
 		p.changed = true
 	}
 }
--- a/core/plan/worker.go
+++ b/core/plan/worker.go
@@ -44,6 +44,7 @@
 
 	restUntil clock.Millis
 	health    health
+	still     bool // nothing moved there when the last look at waiting work began
 }
 
 func (p *Planner) newWorker(life task.Life) *worker {
--- a/internal/traces/loads.go
+++ b/internal/traces/loads.go
@@ -20,6 +20,7 @@
 	"wide_urgent":    wideUrgent,
 	"poison":         poison,
 	"slow_workers":   slowWorkers,
+	"still_workers":  stillWorkers,
 	"cancel_wave":    cancelled,
 }
 
@@ -212,6 +213,16 @@
 	}
 }
 
+// stillWorkers lets all tasks of two workers stand still for a while.
+func stillWorkers(m *loadMaker) {
+	m.mix(0, clock.Minute, 1)
+	for _, name := range []string{"worker-01", "worker-05"} {
+		for _, at := range []clock.Millis{10 * clock.Second, 30 * clock.Second} {
+			m.events = append(m.events, load.Event{At: at, Kind: load.Slow, Name: name, Factor: 1e6, For: 6 * clock.Second})
+		}
+	}
+}
+
 // cancelled lets callers give up on two jobs of five.
 func cancelled(m *loadMaker) {
 	m.mix(0, clock.Minute, 1.3)
