Only what a worker last told counts as standing still; names and errors read again

Progress is now compared with when the worker was last heard.

Also: gypsumcrank load ends what it has begun if its start fails; the planner's fields for unanswered orders say what they hold.

--- a/cmd/gypsumcrank/field.go
+++ b/cmd/gypsumcrank/field.go
@@ -44,8 +44,8 @@
 	takes   map[string][]clock.Millis // by job
 	fails   map[string]int            // runs of each task that are to fail, by job
 	failed  map[string]int            // runs that did, by task
-	needs   map[string]*task.Job
-	slow    map[string]load.Event // by worker, while it lasts
+	jobs    map[string]*task.Job      // that were submitted
+	slow    map[string]load.Event     // by worker, while it lasts
 	failing map[string]load.Event
 	came    map[string]load.Outcome
 	busy    []float64 // accelerators in use, sample by sample
@@ -55,20 +55,32 @@
 
 // startField brings up all that a load needs, and waits until it is served.
 func startField(ctx context.Context, events []load.Event, fronts int) (*field, error) {
-	f := &field{
+	f := newField(events)
+	ctx, f.cancel = context.WithCancel(ctx)
+	if err := f.start(ctx, fronts); err != nil {
+		f.stop()
+		return nil, err
+	}
+	return f, nil
+}
+
+func newField(events []load.Event) *field {
+	return &field{
 		events: events, config: configOf(events), judge: plat.NewJudge(), takes: make(map[string][]clock.Millis), fails: make(map[string]int), failed: make(map[string]int),
-		needs: make(map[string]*task.Job), slow: make(map[string]load.Event), failing: make(map[string]load.Event), came: make(map[string]load.Outcome),
+		jobs: make(map[string]*task.Job), slow: make(map[string]load.Event), failing: make(map[string]load.Event), came: make(map[string]load.Outcome),
 	}
-	ctx, f.cancel = context.WithCancel(ctx)
+}
+
+func (f *field) start(ctx context.Context, fronts int) error {
 	addr, err := serveLocal(ctx, plat.NewStore())
 	if err != nil {
-		return nil, err
+		return err
 	}
 	log := slog.New(slog.DiscardHandler)
 	for i := range fronts {
 		set := platform.Settings{Node: fmt.Sprint("front-", i), Store: addr, Hold: 6 * clock.Second, KeepEnded: 2 * clock.Minute, StopTime: 200, Reclaim: 2700, FarFactor: 3}
 		if err := freeAddrs(&set.Front, &set.Ready, &set.Link); err != nil {
-			return nil, err
+			return err
 		}
 		d := newFrontDaemon(set, "", log.With("process", set.Node))
 		d.config.Apply(f.config)
@@ -76,21 +88,20 @@
 		f.ended.Add(1)
 		go f.runFront(ctx, d)
 	}
-	for _, e := range events {
+	for _, e := range f.events {
 		if e.Kind != load.Workers {
 			continue
 		}
 		for range e.Count {
 			if err := f.addWorker(ctx, addr, e, log); err != nil {
-				return nil, err
+				return err
 			}
 		}
 	}
 	if len(f.workers) == 0 {
-		f.stop()
-		return nil, fault.New(fault.Invalid, "begin the load with an event of kind workers", "the load has no workers")
+		return fault.New(fault.Invalid, "begin the load with an event of kind workers", "the load has no workers")
 	}
-	return f, f.awaitPlanner(ctx)
+	return f.awaitPlanner(ctx)
 }
 
 // configOf makes the configuration that a load's jobs ask for.
@@ -215,12 +226,13 @@
 	f.ended.Wait()
 }
 
-// length is how long a task takes on a worker now.
+// length is how long a task takes on a worker now. Gangs that run over several
+// racks take no longer here.
 func (f *field) length(worker, rack, text string) time.Duration {
 	name, err := task.ParseName(text)
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	j := f.needs[name.Job]
+	j := f.jobs[name.Job]
 	if err != nil || j == nil {
 		return 0
 	}
@@ -254,7 +266,7 @@
 	name, err := task.ParseName(text)
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	j := f.needs[name.Job]
+	j := f.jobs[name.Job]
 	return err == nil && j != nil && j.Steps[name.Step].Checkpoints
 }
 
@@ -263,7 +275,7 @@
 	name, err := task.ParseName(text)
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if j := f.needs[name.Job]; err == nil && j != nil {
+	if j := f.jobs[name.Job]; err == nil && j != nil {
 		f.lost += ran.Seconds() * j.Steps[name.Step].Need.Cores()
 	}
 }
@@ -299,7 +311,7 @@
 	case load.Submit:
 		f.mu.Lock()
 		j := *e.Job
-		f.takes[j.ID], f.fails[j.ID], f.needs[j.ID], f.came[j.ID] = e.Takes, e.Fails, &j, load.Outcome{}
+		f.takes[j.ID], f.fails[j.ID], f.jobs[j.ID], f.came[j.ID] = e.Takes, e.Fails, &j, load.Outcome{}
 		f.mu.Unlock()
 		q := route.Queue{Name: j.Queue, Service: loadService, Priority: j.Priority, Attempts: j.Attempts, Stretch: j.Stretch, Target: j.Target}
 		go f.runCall("submit", func() error { return d.ingress.Front.Submit(ctx, q, j.Account, &j) })
@@ -346,8 +358,8 @@
 	}
 	for _, w := range f.workers {
 		for _, text := range w.Running() {
-			if name, err := task.ParseName(text); err == nil && f.needs[name.Job] != nil {
-				busy += f.needs[name.Job].Steps[name.Step].Need.Accelerators
+			if name, err := task.ParseName(text); err == nil && f.jobs[name.Job] != nil {
+				busy += f.jobs[name.Job].Steps[name.Step].Need.Accelerators
 			}
 		}
 	}
--- a/core/plan/barring.go
+++ b/core/plan/barring.go
@@ -47,8 +47,9 @@
 	}
 }
 
-// dropOpen forgets orders that are too old to be carried out.
-func (p *Planner) dropOpen(w *worker) {
+// dropOld forgets orders that are too old to be carried out, and the bars
+// against them.
+func (p *Planner) dropOld(w *worker) {
 	for name, o := range w.open {
 		if p.now.Steady > o.until {
 			delete(w.open, name)
@@ -66,7 +67,7 @@
 // its id never answered: an order names the id only, and the new life has
 // forgotten which runs are over. Nothing starts there before it has agreed.
 func (p *Planner) barOld(old, w *worker) {
-	p.dropOpen(old)
+	p.dropOld(old)
 	for name, b := range old.bars {
 		w.bars[name] = &bar{run: b.run, until: b.until}
 	}
--- a/core/plan/health.go
+++ b/core/plan/health.go
@@ -50,8 +50,8 @@
 	stillPart = 30
 )
 
-// standsStill tells whether nothing moves on a worker that runs something: all
-// its tasks are under way, and none has come further for a while.
+// standsStill tells whether nothing moved on a worker for a while when it was
+// last heard, although it runs something.
 func (p *Planner) standsStill(w *worker) bool {
 	still := false
 	for u := range w.units {
@@ -59,7 +59,7 @@
 			continue
 		}
 		due := max(stillFor, p.expected(u.job, u.name.Step)/stillPart)
-		if p.now.Steady-u.moved < due {
+		if w.heard-u.moved < due {
 			return false
 		}
 		still = true
@@ -78,12 +78,12 @@
 			if u.phase != running || u.job.Priority > 0 || u.job.state.Ended() || u.step.Service {
 				continue
 			}
-			u.shun(w)
 			a := p.newAsk(wholeGang(u))
 			if p.now.Steady+p.Settings.StopTime+p.expected(u.job, u.name.Step) > a.deadline || !p.elsewhere(u) {
 				continue
 			}
 			p.note(Note{Kind: "task_moved", Job: u.job.ID, Task: u.text, Worker: w.node, Run: u.run, Detail: "nothing moves on its worker"})
+			u.shun(w)
 			p.stop(u)
 			p.breakGang(u)
 		}
--- a/core/plan/load_test.go
+++ b/core/plan/load_test.go
@@ -222,3 +222,27 @@
 	took := f.finished["swatch"] - f.jobs["swatch"].Accepted
 	c.Check(took < 1.5*1500+250, qt.IsTrue, qt.Commentf("took %s", took))
 }
+
+// A worker that the planner does not hear is not one where nothing moves.
+func TestUrgentJobsStayOnWorkersThatAreNotHeard(t *testing.T) {
+	f := newFleet(t, 2, 2, room)
+	swatch := render("swatch", 1, 8, 5000)
+	swatch.Target = 20_000
+	f.submit(swatch)
+	f.run(500)
+	for _, h := range f.hosts {
+		if len(h.runs) > 0 {
+			h.cut = true
+			f.send(plan.LinkMsg{Node: h.node})
+		}
+	}
+	f.run(2500)
+	for _, h := range f.hosts {
+		if h.cut {
+			h.cut = false
+			f.hello(h)
+		}
+	}
+	f.finish(10_000)
+	qt.Check(t, f.records["swatch"].Marks[0].Run, qt.Equals, 1)
+}
--- a/core/plan/order.go
+++ b/core/plan/order.go
@@ -61,7 +61,7 @@
 
 // resend repeats orders that nobody answered.
 func (p *Planner) resend(w *worker) {
-	p.dropOpen(w)
+	p.dropOld(w)
 	if w.dead || !w.linked {
 		return
 	}
--- a/core/plan/worker.go
+++ b/core/plan/worker.go
@@ -38,9 +38,9 @@
 	recorded map[int64]bool // ends beyond noted that are recorded
 	seen     int64          // ends up to here were applied
 
-	open     map[string]*openStart // by task
-	bars     map[string]*bar       // by task
-	barsSent clock.Millis          // when the orders for them were last sent
+	open     map[string]*openStart // starts that it has not answered, by task
+	bars     map[string]*bar       // runs that it has to refuse, by task
+	barsSent clock.Millis          // when the orders for that were last sent
 
 	restUntil clock.Millis
 	health    health
