--- /dev/null
+++ b/core/lines/lines.go
@@ -0,0 +1,59 @@
+// Package lines reads recorded events: JSON, one event a line, in order of time.
+package lines
+
+import (
+	"bufio"
+	"bytes"
+	"encoding/json"
+	"io"
+
+	"gypsumcrank/core/clock"
+	"gypsumcrank/core/fault"
+)
+
+// maxLine bounds a line, in bytes.
+const maxLine = 1 << 20
+
+// Event is what can be recorded.
+type Event interface {
+	// Time is when the event happens, from the beginning of the record.
+	Time() clock.Millis
+	// Lacks names what the event needs and does not have; empty if nothing.
+	Lacks() string
+}
+
+// Reader reads events of one kind of record. Set the fields before Read.
+type Reader[E Event] struct {
+	What   string // names the record in errors, such as trace
+	Remedy string // where its events are described
+}
+
+// Read reads a record. Its error is invalid and names the line that can't be
+// used.
+func (l Reader[E]) Read(r io.Reader) ([]E, error) {
+	scan := bufio.NewScanner(r)
+	scan.Buffer(nil, maxLine)
+	var out []E
+	for n := 1; scan.Scan(); n++ {
+		if len(bytes.TrimSpace(scan.Bytes())) == 0 {
+			continue
+		}
+		dec := json.NewDecoder(bytes.NewReader(scan.Bytes()))
+		dec.DisallowUnknownFields()
+		var e E
+		if err := dec.Decode(&e); err != nil {
+			return nil, fault.New(fault.Invalid, "write one JSON event a line, "+l.Remedy, "line %d of the %s: %v", n, l.What, err)
+		}
+		if len(out) > 0 && e.Time() < out[len(out)-1].Time() {
+			return nil, fault.New(fault.Invalid, "sort the "+l.What+" by at_ms", "line %d of the %s is earlier than the one before", n, l.What)
+		}
+		if lacks := e.Lacks(); lacks != "" {
+			return nil, fault.New(fault.Invalid, "give the event what its kind needs, "+l.Remedy, "line %d of the %s: %s", n, l.What, lacks)
+		}
+		out = append(out, e)
+	}
+	if err := scan.Err(); err != nil {
+		return nil, fault.New(fault.Invalid, "keep lines under 1 MiB", "%s can't be read: %v", l.What, err)
+	}
+	return out, nil
+}
--- a/core/load/load.go
+++ b/core/load/load.go
@@ -6,13 +6,12 @@
 package load
 
 import (
-	"bufio"
-	"bytes"
-	"encoding/json"
+	"fmt"
 	"io"
 
 	"gypsumcrank/core/clock"
 	"gypsumcrank/core/fault"
+	"gypsumcrank/core/lines"
 	"gypsumcrank/core/task"
 )
 
@@ -60,69 +59,43 @@
 	For    clock.Millis `json:"for_ms,omitempty"`
 }
 
-// maxLine bounds a line of a load, in bytes.
-const maxLine = 1 << 20
-
 // Read reads a load. Its error names the line that can't be used.
 func Read(r io.Reader) ([]Event, error) {
-	scan := bufio.NewScanner(r)
-	scan.Buffer(nil, maxLine)
-	var out []Event
-	for n := 1; scan.Scan(); n++ {
-		if len(bytes.TrimSpace(scan.Bytes())) == 0 {
-			continue
-		}
-		dec := json.NewDecoder(bytes.NewReader(scan.Bytes()))
-		dec.DisallowUnknownFields()
-		var e Event
-		if err := dec.Decode(&e); err != nil {
-			return nil, fault.New(fault.Invalid, "write one JSON event a line, as core/load describes them", "line %d of the load: %v", n, err)
-		}
-		if len(out) > 0 && e.At < out[len(out)-1].At {
-			return nil, fault.New(fault.Invalid, "sort the load by at_ms", "line %d of the load is earlier than the one before", n)
-		}
-		if err := e.check(n); err != nil {
-			return nil, err
-		}
-		out = append(out, e)
-	}
-	if err := scan.Err(); err != nil {
-		return nil, fault.New(fault.Invalid, "keep lines under 1 MiB", "load can't be read: %v", err)
-	}
-	return out, nil
+	return lines.Reader[Event]{What: "load", Remedy: "as core/load describes them"}.Read(r)
 }
 
-// check refuses an event that lacks what its kind needs.
-func (e *Event) check(line int) error {
-	bad := func(what string) error {
-		return fault.New(fault.Invalid, "give the event what its kind needs, as core/load describes it", "line %d of the load: %s event needs %s", line, e.Kind, what)
-	}
+// Time is when the event happens.
+func (e Event) Time() clock.Millis { return e.At }
+
+// Lacks names what the event needs for its kind and does not have.
+func (e Event) Lacks() string {
+	needs := func(what string) string { return string(e.Kind) + " event needs " + what }
 	switch e.Kind {
 	case Workers:
 		if e.Count < 1 || e.RackSize < 1 || e.Room == nil {
-			return bad("count, rack_size and room")
+			return needs("count, rack_size and room")
 		}
 	case Account, Queue:
 		if e.Name == "" {
-			return bad("a name")
+			return needs("a name")
 		}
 	case Submit:
 		if e.Job == nil || e.Job.ID == "" || len(e.Takes) != len(e.Job.Steps) {
-			return bad("a job with an id, and takes_ms for each step")
+			return needs("a job with an id, and takes_ms for each step")
 		}
 		if err := e.Job.Check(); err != nil {
-			return fault.New(fault.Invalid, fault.Of(err).Remedy, "line %d of the load: %v", line, err)
+			return fault.Of(err).Detail
 		}
 	case Cancel:
 		if e.ID == "" {
-			return bad("an id")
+			return needs("an id")
 		}
 	case Slow, Failing:
 		if e.Name == "" || e.For <= 0 || e.Kind == Slow && e.Factor < 1 {
-			return bad("a name, for_ms and, to be slow, a factor of 1 or more")
+			return needs("a name, for_ms and, to be slow, a factor of 1 or more")
 		}
 	default:
-		return fault.New(fault.Invalid, "use one of the kinds that core/load lists", "line %d of the load has the unknown kind %q", line, e.Kind)
+		return fmt.Sprintf("the kind %q is unknown", e.Kind)
 	}
-	return nil
+	return ""
 }
--- a/core/load/load_test.go
+++ b/core/load/load_test.go
@@ -57,7 +57,7 @@
 	c := qt.New(t)
 	for text, want := range map[string]string{
 		`{"at_ms":1,"kind":"submit"}`:                     ".*line 1 of the load: submit event needs a job.*",
-		`{"at_ms":1,"kind":"sleep"}`:                      `.*line 1 .*unknown kind "sleep".*`,
+		`{"at_ms":1,"kind":"sleep"}`:                      `.*line 1 .*kind "sleep" is unknown.*`,
 		`{"at_ms":1,"kind":"cancel"}`:                     ".*needs an id.*",
 		`{"at_ms":1,"kind":"slow","name":"w","for_ms":9}`: ".*needs a name, for_ms.*",
 		`{"at_ms":1,"kind":"queue","name":"a"}` + "\n" + `{"at_ms":0,"kind":"queue","name":"b"}`: ".*line 2 of the load is earlier.*",
--- a/core/replay/trace.go
+++ b/core/replay/trace.go
@@ -6,14 +6,11 @@
 package replay
 
 import (
-	"bufio"
-	"bytes"
-	"encoding/json"
 	"io"
 
 	"gypsumcrank/core/clock"
 	"gypsumcrank/core/conf"
-	"gypsumcrank/core/fault"
+	"gypsumcrank/core/lines"
 	"gypsumcrank/core/spec"
 )
 
@@ -56,34 +53,18 @@
 	Blocks       []conf.Block `json:"blocks,omitempty"`
 }
 
-// maxLine bounds a line of a trace, in bytes.
-const maxLine = 1 << 20
-
 // Read reads a trace. Its error names the line that can't be read.
 func Read(r io.Reader) ([]Event, error) {
-	scan := bufio.NewScanner(r)
-	scan.Buffer(nil, maxLine)
-	var out []Event
-	for n := 1; scan.Scan(); n++ {
-		if len(bytes.TrimSpace(scan.Bytes())) == 0 {
-			continue
-		}
-		dec := json.NewDecoder(bytes.NewReader(scan.Bytes()))
-		dec.DisallowUnknownFields()
-		var e Event
-		if err := dec.Decode(&e); err != nil {
-			return nil, fault.New(fault.Invalid, "write one JSON event a line, as in docs/OPERATIONS.md", "line %d of the trace: %v", n, err)
-		}
-		if len(out) > 0 && e.At < out[len(out)-1].At {
-			return nil, fault.New(fault.Invalid, "sort the trace by at_ms", "line %d of the trace is earlier than the one before", n)
-		}
-		if e.Kind == Submit && (e.Job == nil || e.ID == "") {
-			return nil, fault.New(fault.Invalid, "give a submit event an id and a job", "line %d of the trace lacks one", n)
-		}
-		out = append(out, e)
-	}
-	if err := scan.Err(); err != nil {
-		return nil, fault.New(fault.Invalid, "keep lines under 1 MiB", "trace can't be read: %v", err)
+	return lines.Reader[Event]{What: "trace", Remedy: "as in docs/OPERATIONS.md"}.Read(r)
+}
+
+// Time is when the event happens.
+func (e Event) Time() clock.Millis { return e.At }
+
+// Lacks names what the event needs for its kind and does not have.
+func (e Event) Lacks() string {
+	if e.Kind == Submit && (e.Job == nil || e.ID == "") {
+		return "a submit event lacks an id or a job"
 	}
-	return out, nil
+	return ""
 }
