Callers that are not let in leave a line in the log

caller_not_let_in has the path, which names the job, the reason and the version of the configuration that decided. Ruled out: the front that was cut off from the store, as a first reading of the logs had it; that was a guess. Test: TestCallersThatAreNotLetInLeaveALine.

--- a/io/front/front.go
+++ b/io/front/front.go
@@ -89,6 +89,16 @@
 	return nil
 }
 
+// NotLetIn notes why a caller was turned away, and by which configuration. The
+// path names the job.
+func (f *Front) NotLetIn(method, path string, c *route.Config, err error) {
+	version := int64(0)
+	if c != nil {
+		version = c.Version
+	}
+	f.Log.Info("caller_not_let_in", "method", method, "path", path, "config_version", version, "error", fault.Of(err).Kind, "reason", fault.Of(err).Detail)
+}
+
 // unsupported refuses what this version can't run within its promises.
 func unsupported(q route.Queue, j *task.Job) error {
 	refuse := func(what string) error {
--- a/io/front/front_test.go
+++ b/io/front/front_test.go
@@ -125,3 +125,20 @@
 	f.Index.See(progress(c, "2", task.Completed))
 	c.Check(<-got, qt.Equals, task.Completed)
 }
+
+// A refusal of inc-7f82 had no line in any log: a caller that is not let in must
+// leave the path, which names the job, the reason and the configuration's version.
+func TestCallersThatAreNotLetInLeaveALine(t *testing.T) {
+	c := qt.New(t)
+	f, _ := newFront(t)
+	var out strings.Builder
+	f.Log = slog.New(slog.NewTextHandler(&out, nil))
+	var none *route.Config
+	_, err := none.Admit("h", "/q/00000000000000a1", "k")
+	f.NotLetIn("POST", "/q/00000000000000a1", none, err)
+	some := (&route.Config{Version: 7}).Prepare()
+	_, err = some.Admit("h", "/q/00000000000000a2", "k")
+	f.NotLetIn("GET", "/q/00000000000000a2", some, err)
+	c.Check(out.String(), qt.Contains, "path=/q/00000000000000a1 config_version=0 error=store_out")
+	c.Check(out.String(), qt.Contains, "path=/q/00000000000000a2 config_version=7 error=not_found")
+}
