Tests for rules that no test would have seen broken: service, completion, leaving

Mutations of the planner and the front showed three: tasks placed on workers of another service (ROUTE), jobs recorded as completed while a task has not ended (MIXED), and a front that closes at once or stays ready when it is asked to stop (LOST around planned work) broke no test. Payload and checkpoint of a start (UNASKED) were not checked either.

--- a/cmd/gypsumcrank/platform_test.go
+++ b/cmd/gypsumcrank/platform_test.go
@@ -40,6 +40,8 @@
 			"store":    siteCmd((*site).setStore),
 			"runs":     siteCmd((*site).runs),
 			"log":      siteCmd((*site).log),
+			"ready":    siteCmd((*site).ready),
+			"taken":    siteCmd((*site).taken),
 		},
 		Setup: func(env *testscript.Env) error {
 			s := &site{dir: env.WorkDir, procs: make(map[string]*daemon), execs: make(map[string]*plat.Executor)}
@@ -297,6 +299,31 @@
 	})
 }
 
+// taken NAME ID: one front accepts a job of one task at the first try.
+func (s *site) taken(args []string) error {
+	status, answer := s.callAt(args[0], "POST", "/q/"+args[1], `{"task_spec":"x","steps":[{"count":1,"cpu":1000,"mem_mb":100,"gpu":1,"estimate_ms":1000}]}`)
+	if status != 200 {
+		return fmt.Errorf("%s answered %d to %s: %s", args[0], status, args[1], answer)
+	}
+	return nil
+}
+
+// ready NAME STATUS SECONDS: the balancer's question to a front is answered so.
+func (s *site) ready(args []string) error {
+	seconds, err := strconv.ParseFloat(args[2], 64)
+	if err != nil {
+		return err
+	}
+	return s.await(seconds, args[0]+" answers "+args[1]+" to the balancer", func() bool {
+		resp, err := http.Get("http://" + s.procs[args[0]].ready + platform.ReadyPath)
+		if err != nil {
+			return false
+		}
+		defer resp.Body.Close()
+		return strconv.Itoa(resp.StatusCode) == args[1]
+	})
+}
+
 // cancel ID: cancels a job.
 func (s *site) cancel(args []string) error {
 	return s.await(10, "cancelled "+args[0], func() bool {
--- a/core/plan/first_test.go
+++ b/core/plan/first_test.go
@@ -192,7 +192,7 @@
 		w.free = w.free.Minus(need)
 		j.at[n], j.runs[n] = w, run+1
 		p.out.Orders = append(p.out.Orders, plan.Order{
-			Kind: plan.OrderStart, Node: w.Node, Life: w.Life, Task: n.String(), Run: run + 1, Until: p.now + w.clock + lease, Epoch: p.epoch,
+			Kind: plan.OrderStart, Node: w.Node, Life: w.Life, Task: n.String(), Run: run + 1, Payload: j.Payload, Until: p.now + w.clock + lease, Epoch: p.epoch,
 		})
 	}
 }
--- a/core/plan/plan_test.go
+++ b/core/plan/plan_test.go
@@ -202,6 +202,18 @@
 	c.Check(f.finished["a"]-j.First >= 2*3000+2000, qt.IsTrue)
 }
 
+func TestTasksRunOnWorkersOfTheirServiceOnly(t *testing.T) {
+	f := newFleet(t, 2, 2, room)
+	f.hosts[0].service = "other"
+	f.takeOver()
+	for i := range 4 {
+		f.submit(oneTask(fmt.Sprint("j", i), 8))
+	}
+	f.run(3000)
+	qt.Check(t, len(f.hosts[0].runs), qt.Equals, 0) // fleet fails the test at such a start, too
+	f.finish(20_000)
+}
+
 func TestPlacesKeepToLabelsRacksAndLimits(t *testing.T) {
 	f := newFleet(t, 6, 3, room)
 	rack := &task.Job{ID: "rack", Priority: 1, Stretch: 3, Target: 1000, Steps: []task.Step{
