Scenarios own their ports for their whole life; a failed one keeps its logs

Change: a port is locked by a file (flock) until its scenario ends; all test processes of the machine see the lock, and the kernel ends it with the process. Ports stay below those of outgoing connections. The logs of a failed scenario are copied to a directory that stays, and the test says where.

--- a/cmd/gypsumcrank/cluster_test.go
+++ b/cmd/gypsumcrank/cluster_test.go
@@ -13,7 +13,11 @@
 // startLink starts a network link in front of a peer address and returns the
 // address of the link, which is the one to advertise.
 func (sc *scenario) startLink(name, peer string) (string, error) {
-	listen, control := freePort(), freePort()
+	addrs, err := sc.ports.takeAll(2)
+	if err != nil {
+		return "", err
+	}
+	listen, control := addrs[0], addrs[1]
 	sc.links[name] = control
 	return listen, sc.start("link-"+name, "standin", "link", "--listen", listen, "--to", peer, "--control", control)
 }
@@ -24,7 +28,11 @@
 }
 
 func (sc *scenario) startEntry(name string) error {
-	httpAddr, peer := freePort(), freePort()
+	addrs, err := sc.ports.takeAll(2)
+	if err != nil {
+		return err
+	}
+	httpAddr, peer := addrs[0], addrs[1]
 	advertise, err := sc.startLink(name, peer)
 	if err != nil {
 		return err
@@ -50,7 +58,11 @@
 // startAgent starts an agent and its endpoint. Three endpoints share a rack.
 func (sc *scenario) startAgent(i int) error {
 	name, ep := fmt.Sprintf("agent-%d", i), fmt.Sprintf("endpoint-%d", i)
-	httpAddr, peer, epAddr := freePort(), freePort(), freePort()
+	addrs, err := sc.ports.takeAll(3)
+	if err != nil {
+		return err
+	}
+	httpAddr, peer, epAddr := addrs[0], addrs[1], addrs[2]
 	advertise, err := sc.startLink(name, peer)
 	if err != nil {
 		return err
@@ -72,7 +84,11 @@
 	if out, err := exec.Command(sc.lookPath("gypsumcrank"), "keys", "init", "--dir", filepath.Join(sc.dir, "keys")).CombinedOutput(); err != nil {
 		return fmt.Errorf("gypsumcrank keys init: %v %s", err, out)
 	}
-	sc.http["store"] = freePort()
+	storeAddr, err := sc.ports.take()
+	if err != nil {
+		return err
+	}
+	sc.http["store"] = storeAddr
 	if err := sc.start("store", "standin", "store", "--listen", sc.http["store"]); err != nil {
 		return err
 	}
--- a/cmd/gypsumcrank/platform_test.go
+++ b/cmd/gypsumcrank/platform_test.go
@@ -64,6 +64,7 @@
 // stand-ins for the store and the executors in the test process.
 type site struct {
 	dir       string
+	ports     portSet
 	store     *plat.Store
 	storeAddr string
 	procs     map[string]*daemon
@@ -189,7 +190,11 @@
 
 func (s *site) addProcessWith(role string, i int, app string) error {
 	name := fmt.Sprintf("%s-%d", role, i)
-	addr, link, ready := freePort(), freePort(), freePort()
+	addrs, err := s.ports.takeAll(3)
+	if err != nil {
+		return err
+	}
+	addr, link, ready := addrs[0], addrs[1], addrs[2]
 	listen := map[string]string{"control": addr}
 	if role == "front" {
 		listen = map[string]string{"front": addr, "ready": ready}
@@ -245,6 +250,7 @@
 	for _, cleanup := range s.cleanups {
 		cleanup()
 	}
+	s.ports.close()
 }
 
 // await polls until ok returns true. After the given seconds it returns an error
--- a/cmd/gypsumcrank/scenario_test.go
+++ b/cmd/gypsumcrank/scenario_test.go
@@ -25,7 +25,10 @@
 		Setup: func(env *testscript.Env) error {
 			sc := newScenario(env)
 			env.Values[scenarioKey{}] = sc
-			env.Defer(sc.close)
+			env.Defer(func() {
+				sc.close()
+				keepLogs(env.T().(testing.TB), sc.dir)
+			})
 			return os.Setenv("GYPSUMCRANK_LOG_LEVEL", "info")
 		},
 	})
--- a/cmd/gypsumcrank/world_test.go
+++ b/cmd/gypsumcrank/world_test.go
@@ -5,7 +5,6 @@
 	"encoding/json"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"net/url"
 	"os"
@@ -13,7 +12,6 @@
 	"path/filepath"
 	"strings"
 	"sync"
-	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -42,6 +40,7 @@
 // to them.
 type scenario struct {
 	dir, path string
+	ports     portSet
 
 	mu            sync.Mutex
 	procs         map[string]*process
@@ -84,37 +83,7 @@
 		_ = p.cmd.Process.Kill()
 		<-p.exited
 	}
-}
-
-// The scenarios use ports below the ephemeral ports of the operating system.
-const (
-	firstPort = 20000
-	lastPort  = 32000
-)
-
-var nextPort atomic.Int64
-
-// Test processes that run at the same time start at different ports.
-func init() { nextPort.Store(int64(os.Getpid()) * 131 % (lastPort - firstPort)) }
-
-// freePort returns a loopback address, free for TCP and UDP, that no other scenario
-// of this run gets.
-func freePort() string {
-	for {
-		port := firstPort + nextPort.Add(1)%(lastPort-firstPort)
-		addr := fmt.Sprintf("127.0.0.1:%d", port)
-		tcp, err := net.Listen("tcp", addr)
-		if err != nil {
-			continue
-		}
-		tcp.Close()
-		udp, err := net.ListenPacket("udp", addr)
-		if err != nil {
-			continue
-		}
-		udp.Close()
-		return addr
-	}
+	sc.ports.close()
 }
 
 func (sc *scenario) lookPath(prog string) string {
