A restarted entry's empty list no longer silences its agents at the other entries

Its first heartbeat to entry-1 had another digest, entry-1 asked for the full list, got an empty one, and marked all three agents silent, because entry-2 was their home. A request at 28.402 s was refused with "no endpoint of studio accepts work now"; the agents reported again from 28.795 s on.

Change: for HomeSilenceTimeout after its start an entry calls its list partial, and a partial list silences nobody. Agents that do not come back are silenced by the next complete list.

TestListOfRestartedHomeSilencesNoAgent fails if a list always counts as complete (0 slots instead of 4).

--- a/core/fleet/fleet.go
+++ b/core/fleet/fleet.go
@@ -265,14 +265,18 @@
 	return out
 }
 
-// Replace applies a home's full list. Agents of that home that are not on it
-// are marked as silent.
-func (f *Fleet) Replace(now clock.Millis, home string, reports []proto.ReportMsg) {
+// Replace applies a home's list of its agents. If the list is complete, agents of
+// that home that are not on it are marked as silent. That of a home that has just
+// started is not: it has not heard from all its agents yet.
+func (f *Fleet) Replace(now clock.Millis, home string, reports []proto.ReportMsg, complete bool) {
 	listed := make(map[string]bool)
 	for _, r := range reports {
 		listed[r.Agent] = true
 		f.Report(now, r, home)
 	}
+	if !complete {
+		return
+	}
 	for name, a := range f.agents {
 		if a.home == home && !listed[name] {
 			a.markSilent(now)
--- a/core/fleet/fleet_test.go
+++ b/core/fleet/fleet_test.go
@@ -38,13 +38,26 @@
 	c.Assert(f.Report(0, later, "entry-1"), qt.IsTrue)
 	c.Assert(f.Report(0, report("a", 9), "entry-1"), qt.IsFalse)
 	c.Assert(f.Digest("entry-1"), qt.Not(qt.Equals), g.Digest("entry-1"))
-	g.Replace(0, "entry-1", f.Reports("entry-1"))
+	g.Replace(0, "entry-1", f.Reports("entry-1"), true)
 	c.Assert(f.Digest("entry-1"), qt.Equals, g.Digest("entry-1"))
-	g.Replace(0, "entry-1", nil)
+	g.Replace(0, "entry-1", nil, true)
 	a, _ := g.Get("a")
 	c.Assert(a.State(), qt.Equals, life.Silent)
 }
 
+// A home that has just restarted lists none of its agents, as it has not heard from
+// them yet. The other entries keep sending them work; one that does not come back
+// becomes silent after its home's next complete list.
+func TestListOfRestartedHomeSilencesNoAgent(t *testing.T) {
+	c := qt.New(t)
+	f := fleet.New("entry-1")
+	f.Report(0, report("a", 1), "entry-2")
+	f.Replace(clock.Second, "entry-2", nil, false)
+	c.Assert(f.Slots("s"), qt.Equals, 4)
+	f.Replace(2*clock.Second, "entry-2", nil, true)
+	c.Assert(f.Slots("s"), qt.Equals, 0)
+}
+
 // Heartbeats of another entry keep the agents whose home it is alive; without
 // them these agents become silent.
 func TestSilentHomeSilencesItsAgents(t *testing.T) {
--- a/core/proto/proto.go
+++ b/core/proto/proto.go
@@ -245,7 +245,8 @@
 // list.
 type ReportsMsg struct {
 	Entry   string         `json:"e"`
-	All     bool           `json:"l,omitempty"`
+	All     bool           `json:"l,omitempty"` // the list is of all agents of the entry
+	Partial bool           `json:"p,omitempty"` // the entry has just started and may not have heard from all of them
 	Reports []ReportMsg    `json:"r,omitempty"`
 	Silent  []string       `json:"s,omitempty"`
 	Config  *conf.Document `json:"c,omitempty"`
--- a/io/entry/control.go
+++ b/io/entry/control.go
@@ -41,7 +41,8 @@
 // and waiting requests. Only the control goroutine accesses it.
 type control struct {
 	entry         *Entry
-	started       clock.Millis
+	createdAt     clock.Millis
+	started       clock.Millis // when readiness was first asked for
 	doc           conf.Document
 	docAt         clock.Millis
 	fleet         *fleet.Fleet
@@ -65,6 +66,7 @@
 func newControl(e *Entry) *control {
 	return &control{
 		entry:         e,
+		createdAt:     e.Clock.Now(),
 		fleet:         fleet.New(e.Name),
 		queue:         queue.New[*slotWaiter](),
 		inFlight:      make(map[string]int),
--- a/io/entry/peers.go
+++ b/io/entry/peers.go
@@ -9,6 +9,7 @@
 	"gypsumcrank/core/clock"
 	"gypsumcrank/core/event"
 	"gypsumcrank/core/fault"
+	"gypsumcrank/core/fleet"
 	"gypsumcrank/core/kern"
 	"gypsumcrank/core/proto"
 	"gypsumcrank/io/certs"
@@ -177,8 +178,7 @@
 		}
 		followUp = proto.ReportsMsg{Entry: c.entry.Name}
 		if reply.WantsAll {
-			followUp.All = true
-			followUp.Reports = c.fleet.Reports(c.entry.Name)
+			followUp = c.fullReport(now)
 		}
 		if reply.WantsConf {
 			doc := c.doc
@@ -190,6 +190,14 @@
 	}
 }
 
+// fullReport returns the reports of all agents whose home is this entry. It is
+// partial until they have had time to choose a home again after a restart.
+func (c *control) fullReport(now clock.Millis) proto.ReportsMsg {
+	return proto.ReportsMsg{
+		Entry: c.entry.Name, All: true, Partial: now-c.createdAt < fleet.HomeSilenceTimeout, Reports: c.fleet.Reports(c.entry.Name),
+	}
+}
+
 func (c *control) peerMsg(now clock.Millis) proto.PeerMsg {
 	return proto.PeerMsg{
 		Entry:    c.entry.Name,
@@ -270,7 +278,7 @@
 			c.adoptConfig(now, *m.Config)
 		}
 		if m.All {
-			c.fleet.Replace(now, m.Entry, m.Reports)
+			c.fleet.Replace(now, m.Entry, m.Reports, !m.Partial)
 			c.dispatch(now)
 			return
 		}
