A job whose reclaim could not stop its victims keeps its guarantee

Cause, from the kept logs of TestScenarios/reclaim (one of 20 runs, beside a second run and four busy processes): the planner reserved cells for the urgent job and wanted to evict two jobs. One of them had a step in progress, so its stop was not launched. In the next round the reservation could not become free, was dropped, and the job planned again with the "guaranteed" of before the drop: its own reservation had counted as use of the guarantee. Ports are ruled out (locked).

Change: whether the guarantee covers the job is computed again once its reservation is dropped.

TestReservationWhoseVictimRunsOnIsPlannedAnew failed first with that very reason.

--- a/core/sched/plan.go
+++ b/core/sched/plan.go
@@ -44,17 +44,23 @@
 	b := m.v.bind()
 	out := make([]Candidate, 0, len(m.state.Waiting))
 	for _, w := range m.state.Waiting {
-		c := Candidate{Waiting: w, Borrowed: b.borrowed[w.Account]}
-		if cells, ok := m.v.smallestCells(w.Job); ok && b.unbound[w.Account] != nil {
-			left := b.unused(w.Account)
-			c.Guaranteed = left.takeAll(cells)
-		}
-		out = append(out, c)
+		out = append(out, Candidate{Waiting: w, Borrowed: b.borrowed[w.Account], Guaranteed: b.covers(w)})
 	}
 	sort.SliceStable(out, func(i, j int) bool { return m.before(out[i], out[j]) })
 	return out
 }
 
+// covers reports whether the unused part of its account's guarantee has room for a
+// job. Cells that are reserved for the job itself count as used.
+func (b *binding) covers(w Waiting) bool {
+	cells, ok := b.v.smallestCells(w.Job)
+	if !ok || b.unbound[w.Account] == nil {
+		return false
+	}
+	left := b.unused(w.Account)
+	return left.takeAll(cells)
+}
+
 // before orders jobs with reserved cells first, then by the policy.
 func (m *planMaker) before(a, b Candidate) bool {
 	if ra, rb := len(a.Reserved) > 0, len(b.Reserved) > 0; ra != rb {
@@ -133,7 +139,7 @@
 	switch {
 	case !pending:
 		m.v.unreserve(w)
-		c.Reserved = nil
+		c.Reserved, c.Guaranteed = nil, m.v.bind().covers(w)
 		m.placeJob(c)
 	case !free:
 		m.plan.Waits = append(m.plan.Waits, Wait{ID: w.ID, Reason: "waits for evicted jobs to leave its cells"})
--- a/core/sched/sched_test.go
+++ b/core/sched/sched_test.go
@@ -148,6 +148,27 @@
 	c.Assert(overlap(cl.state), qt.Equals, "")
 }
 
+// The stop of a victim could not be ordered, because another step of that job was in
+// progress, and another evicted job has taken its old cells again. The account gets
+// its guarantee all the same: the job is planned anew as one that is guaranteed. In
+// the scenario reclaim, beside load, it waited on as "outside its account's
+// guarantee", as its own reservation had counted against it.
+func TestReservationWhoseVictimRunsOnIsPlannedAnew(t *testing.T) {
+	c := qt.New(t)
+	borrowed := spec.Job{Tasks: 1, Accelerators: 8, Idempotent: true, Checkpoints: true}
+	s := sched.State{Now: 1000, Workers: workers(3), Guarantees: map[string][]conf.Block{"acme": block(8, 2), "other": block(8, 1)}}
+	for i := range 3 {
+		s.Running = append(s.Running, sched.Running{ID: fmt.Sprint("b", i), Account: "other", Job: borrowed, Cells: []sched.Allocation{{Agent: fmt.Sprintf("a%02d", i), Cell: spec.Cell{Size: 8}}}, StartedAt: clock.Millis(i)})
+	}
+	s.Waiting = []sched.Waiting{{
+		ID: "j", Account: "acme", Job: spec.Job{Tasks: 2, Accelerators: 8, Adjacent: true, Class: spec.Urgent},
+		Reserved: []sched.Allocation{{Agent: "a01", Cell: spec.Cell{Size: 8}}, {Agent: "a02", Cell: spec.Cell{Size: 8}}},
+	}}
+	plan := sched.Make(sched.Product{}, s)
+	c.Assert(plan.Placements, qt.HasLen, 1, qt.Commentf("%+v", plan.Waits))
+	c.Check(plan.Placements[0].Victims, qt.HasLen, 2)
+}
+
 func TestNonEvictableJobStaysOffGuaranteedCells(t *testing.T) {
 	c := qt.New(t)
 	s := sched.State{Workers: workers(2), Guarantees: map[string][]conf.Block{"owner": block(8, 1)}}
