Log lines that tell a silent watch from a missed or unreadable change

What the logs could not show: which route and connection a failed store call used and how long it took, how long a copy had been without a response when changes arrived, whether a watch had passed over a change, and how old the configuration was behind a refusal.

- store_call_failed: route, op, key, took, error; at most ten a second, the next line says how many were left out.
- mirror_late, watch_missed_change.
- caller_not_let_in: config_age.

No logic changes.

--- a/cmd/gypsumcrank/front.go
+++ b/cmd/gypsumcrank/front.go
@@ -62,7 +62,7 @@
 		ServePeer: func(c *link.Conn, first link.Frame) { relay.Serve(c, direct, d.jobMirror.ExpectRevision, first) },
 		OnJobEnd:  d.notifyFronts,
 	}
-	d.ingress = &platform.Ingress{Config: d.config, Front: &front.Front{
+	d.ingress = &platform.Ingress{Config: d.config, ConfigConfirmed: d.configMirror.ConfirmedAt, Front: &front.Front{
 		Store: d.store, Index: d.index, StoreUnavailable: d.relay.Unavailable, LastContact: d.jobMirror.LastContact, OnWrite: d.notifyPlanner, Log: log,
 	}}
 	return d
--- a/io/mirror/mirror.go
+++ b/io/mirror/mirror.go
@@ -31,6 +31,17 @@
 	// relistInterval is the least time between two lists that a silent watch
 	// causes.
 	relistInterval = clock.Second
+	// lateAfter is how long the store may not have responded before changes that
+	// then arrive are logged as late.
+	lateAfter = pollWait + 200*clock.Millisecond
+)
+
+// A source says how changes reached the copy.
+type source string
+
+const (
+	fromList  source = "list"
+	fromWatch source = "watch"
 )
 
 // Mirror keeps a copy of the keys under Prefix. Set the exported fields before
@@ -46,7 +57,8 @@
 	keys        map[string]store.KV
 	rev         int64
 	advanced    chan struct{}
-	lastContact clock.Millis
+	lastContact clock.Millis // when the store last responded
+	confirmedAt clock.Millis // when the latest call that succeeded was sent
 	unavailable bool
 	expectedRev int64              // highest revision that is known to be written
 	relistedAt  clock.Millis       // when a silent watch last caused a list
@@ -87,6 +99,15 @@
 	return m.lastContact
 }
 
+// ConfirmedAt returns since when the copy may be out of date, on the monotonic
+// clock: it holds all changes that were made before. It is 0 before the first
+// list.
+func (m *Mirror) ConfirmedAt() clock.Millis {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.confirmedAt
+}
+
 // ExpectRevision says that the store has reached a revision. If the watch does
 // not deliver it soon, all keys are listed again: a watch may be silent while
 // changes are made.
@@ -187,6 +208,7 @@
 
 // list reads all keys and applies what differs from the copy.
 func (m *Mirror) list(ctx context.Context) error {
+	sent := clock.System().Monotonic()
 	kvs, rev, err := m.Store.List(ctx, m.Prefix)
 	if err != nil {
 		return err
@@ -203,11 +225,23 @@
 			changes = append(changes, store.Change{KV: store.KV{Key: key, Rev: rev}, Deleted: true})
 		}
 	}
+	m.logMissed(kvs)
 	m.mu.Unlock()
-	m.apply(changes, rev)
+	m.apply(changes, rev, fromList, sent)
 	return nil
 }
 
+// logMissed logs listed keys that a watch should have delivered: they were
+// written before the revision up to which the copy is complete. The caller holds
+// mu.
+func (m *Mirror) logMissed(kvs []store.KV) {
+	for _, kv := range kvs {
+		if have := m.keys[kv.Key].Rev; have < kv.Rev && kv.Rev <= m.rev {
+			m.Log.Warn("watch_missed_change", "prefix", m.Prefix, "key", kv.Key, "revision", kv.Rev, "have", have, "complete_to", m.rev)
+		}
+	}
+}
+
 // poll waits for changes. It reports in relist whether it was cancelled so that
 // all keys are listed again.
 func (m *Mirror) poll(ctx context.Context) (relist bool, err error) {
@@ -219,6 +253,7 @@
 		time.AfterFunc(expectWait.Duration(), m.relistIfBehind)
 	}
 	m.mu.Unlock()
+	sent := clock.System().Monotonic()
 	changes, rev, err := m.Store.Poll(ctx, m.Prefix, m.Rev(), pollWait)
 	m.mu.Lock()
 	relist = m.cancelPoll == nil
@@ -227,13 +262,14 @@
 	if err != nil {
 		return relist, err
 	}
-	m.apply(changes, rev)
+	m.apply(changes, rev, fromWatch, sent)
 	return relist, nil
 }
 
 // apply drops changes that are already known, passes the rest to OnChange, and
-// then announces the revision.
-func (m *Mirror) apply(changes []store.Change, rev int64) {
+// then announces the revision. The call that returned them was sent at the given
+// time.
+func (m *Mirror) apply(changes []store.Change, rev int64, from source, sent clock.Millis) {
 	var fresh []store.Change
 	m.mu.Lock()
 	for _, c := range changes {
@@ -253,7 +289,11 @@
 		m.OnChange(fresh)
 	}
 	m.mu.Lock()
-	m.lastContact = clock.System().Monotonic()
+	now := clock.System().Monotonic()
+	if quiet := now - m.lastContact; m.lastContact > 0 && quiet > lateAfter && len(fresh) > 0 {
+		m.Log.Warn("mirror_late", "prefix", m.Prefix, "quiet_for", quiet, "changes", len(fresh), "from", from, "revision", rev)
+	}
+	m.lastContact, m.confirmedAt = now, max(m.confirmedAt, sent)
 	if rev > m.rev {
 		m.rev = rev
 		close(m.advanced)
--- a/io/relay/relay.go
+++ b/io/relay/relay.go
@@ -55,6 +55,7 @@
 	lastPeer     string                  // peer that replied last
 	peerFailedAt map[string]clock.Millis // when a peer last did not reply, by address
 	conns        map[string]*peer
+	failures     failureLog
 	cancel       context.CancelFunc
 	done         chan struct{}
 }
@@ -152,10 +153,12 @@
 // conditions let the caller retry it.
 func (r *Relay) route(ctx context.Context, c link.Call, direct func() (link.Reply, error)) (link.Reply, error) {
 	if !r.usingPeers() {
+		began := clock.System().Monotonic()
 		reply, err := direct()
 		if err == nil || !fault.Is(err, fault.StoreUnavailable) || ctx.Err() != nil {
 			return reply, err
 		}
+		r.failures.write(r.Log, directRoute, c, clock.System().Monotonic()-began, err)
 		r.setViaPeers(true, err)
 		if c.Op == link.OpCommit && fault.Of(err).Outcome != fault.NotRun {
 			return reply, err
@@ -182,6 +185,7 @@
 			r.recordPeerFailure(addr)
 			continue
 		}
+		began := clock.System().Monotonic()
 		var reply link.Reply
 		reply, err = p.call(ctx, c)
 		if err == nil && reply.Err == nil {
@@ -196,6 +200,7 @@
 			r.recordPeerFailure(addr)
 			r.dropPeer(addr, p)
 		}
+		r.failures.write(r.Log, addr, c, clock.System().Monotonic()-began, err)
 		if c.Op == link.OpCommit && fault.Of(err).Outcome != fault.NotRun || !fault.Is(err, fault.StoreUnavailable) {
 			return reply, err
 		}
