The stale configuration, reproduced by a test that fails

The bound is 3 s, since a host counts as healthy again 3 s after its connections have failed; a change has 2 s.

The stand-in proxy can now silence the connections that are open, as the platform does; until now it could only silence a link as a whole, which also held up new connections.

--- a/internal/standin/plat/proxy.go
+++ b/internal/standin/plat/proxy.go
@@ -4,6 +4,7 @@
 	"io"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -29,7 +30,7 @@
 
 	mu    sync.Mutex
 	fault ProxyFault
-	conns map[net.Conn]bool
+	conns map[net.Conn]*atomic.Bool // whether each open connection has gone silent for good
 }
 
 // NewProxy listens on a free port and forwards connections to target.
@@ -38,7 +39,7 @@
 	if err != nil {
 		return nil, err
 	}
-	p := &Proxy{listener: ln, target: target, conns: make(map[net.Conn]bool)}
+	p := &Proxy{listener: ln, target: target, conns: make(map[net.Conn]*atomic.Bool)}
 	go p.accept()
 	return p, nil
 }
@@ -58,6 +59,23 @@
 	}
 }
 
+// Open returns the number of open connections.
+func (p *Proxy) Open() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return len(p.conns)
+}
+
+// SilenceOpen drops all further data on the connections that are open now. New
+// connections are not affected.
+func (p *Proxy) SilenceOpen() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, silent := range p.conns {
+		silent.Store(true)
+	}
+}
+
 func reset(c net.Conn) {
 	if t, ok := c.(*net.TCPConn); ok {
 		_ = t.SetLinger(0) // sends RST; without it the peer sees an orderly close
@@ -98,8 +116,9 @@
 		return
 	}
 	defer t.Close()
+	silent := new(atomic.Bool)
 	p.mu.Lock()
-	p.conns[c] = true
+	p.conns[c] = silent
 	p.mu.Unlock()
 	defer func() {
 		p.mu.Lock()
@@ -107,24 +126,25 @@
 		delete(p.conns, c)
 	}()
 	ended := make(chan struct{}, 2)
-	go p.forward(t, c, false, ended)
-	go p.forward(c, t, true, ended)
+	go p.forward(t, c, false, silent, ended)
+	go p.forward(c, t, true, silent, ended)
 	<-ended
 }
 
-// forward copies one direction until it is closed.
-func (p *Proxy) forward(to io.Writer, from io.Reader, responses bool, ended chan<- struct{}) {
+// forward copies one direction until it is closed, or drops it once silent is
+// set.
+func (p *Proxy) forward(to io.Writer, from io.Reader, responses bool, silent *atomic.Bool, ended chan<- struct{}) {
 	defer func() { ended <- struct{}{} }()
 	buf := make([]byte, 32<<10)
-	silent := false // stays set: after lost bytes the stream can't be resumed
+	lost := false // stays set: after lost bytes the stream can't be resumed
 	for {
 		n, err := from.Read(buf)
 		if err != nil {
 			return
 		}
 		f := p.currentFault()
-		silent = silent || f == Silence || f == OneWay && responses
-		if silent {
+		lost = lost || silent.Load() || f == Silence || f == OneWay && responses
+		if lost {
 			continue
 		}
 		if f == Delay {
--- a/io/relay/relay_test.go
+++ b/io/relay/relay_test.go
@@ -15,6 +15,7 @@
 	"gypsumcrank/core/fault"
 	"gypsumcrank/internal/standin/plat"
 	"gypsumcrank/io/link"
+	"gypsumcrank/io/mirror"
 	"gypsumcrank/io/relay"
 	"gypsumcrank/io/store"
 	"gypsumcrank/platform"
@@ -43,7 +44,7 @@
 			c := link.New(raw)
 			go func() {
 				f, err := c.Receive(clock.Second)
-				if err == nil && f.Call != nil {
+				if err == nil {
 					relay.Serve(c, k, func(int64) {}, f)
 				}
 				c.Close()
@@ -53,6 +54,14 @@
 	return ln.Addr().String()
 }
 
+// newProxy returns a proxy in front of addr.
+func newProxy(t *testing.T, addr string) *plat.Proxy {
+	p, err := plat.NewProxy(addr)
+	qt.Assert(t, err, qt.IsNil)
+	t.Cleanup(p.Close)
+	return p
+}
+
 func newRelay(t *testing.T, direct store.TxnStore, peers ...string) *relay.Relay {
 	r := &relay.Relay{Direct: direct, Peers: func() []string { return peers }, Log: slog.New(slog.DiscardHandler)}
 	qt.Assert(t, r.Start(context.Background(), nil), qt.IsNil)
@@ -159,3 +168,37 @@
 	c.Assert(err, qt.IsNil)
 	c.Check(res.Committed, qt.IsTrue)
 }
+
+// Guards against a watch that waits for silent peers while the store is reachable:
+// a front refused callers of a new queue for 5 s after all open connections had
+// gone silent (docs/incidents/stale-configuration.md).
+func TestChangeArrivesAfterOpenConnectionsGoSilent(t *testing.T) {
+	c := qt.New(t)
+	s := plat.NewStore()
+	srv := httptest.NewServer(s)
+	t.Cleanup(srv.CloseClientConnections)
+	toStore := newProxy(t, strings.TrimPrefix(srv.URL, "http://"))
+	toPeers := []*plat.Proxy{newProxy(t, servePeer(t, newStoreClient(t, s))), newProxy(t, servePeer(t, newStoreClient(t, s)))}
+	r := newRelay(t, platform.NewKV(toStore.Addr()), toPeers[0].Addr(), toPeers[1].Addr())
+	for _, p := range toPeers {
+		r.Notify(p.Addr(), 1)
+		for p.Open() == 0 {
+			time.Sleep(time.Millisecond)
+		}
+	}
+	m := &mirror.Mirror{Prefix: "op/", Store: r, Log: slog.New(slog.DiscardHandler)}
+	c.Assert(m.Start(context.Background(), nil), qt.IsNil)
+	t.Cleanup(func() { _ = m.Stop(context.Background()) })
+	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
+	defer cancel()
+	c.Assert(m.Wait(ctx, 1), qt.IsNil)
+
+	for _, p := range append(toPeers, toStore) {
+		p.SilenceOpen()
+	}
+	s.Put("op/config", []byte("{}"))
+	began := time.Now()
+	c.Assert(m.Wait(ctx, 2), qt.IsNil)
+	// A host counts as healthy again 3 s after its connections have failed.
+	c.Check(time.Since(began) < 3*time.Second, qt.IsTrue, qt.Commentf("took %s", time.Since(began)))
+}
