Relay: a read waits for no single peer, and returns when the store does

Callers of a new queue got 404 for seconds after all open connections of a front had gone silent: the front's copy of the configuration was behind.

Cause: once a store call fails, the relay hands the same call to a peer. A watch with a wait of 1.5 s waited 2.3 s for a reply that could not come, then as long at the next peer, one after the other; and a watch that waited at a peer was not recalled when the direct route was found to work, 0.3 s later. The timeouts of the layers added up to 6.7 s, where a change has 2 s. A frozen or dead peer alone cost 2.3 s.

Change: a read (get, list, poll) through peers is hedged. Writes go through peers as before.

--- a/io/relay/keeper.go
+++ b/io/relay/keeper.go
@@ -40,7 +40,7 @@
 }
 
 func (r *Relay) call(ctx context.Context, c link.Call) (link.Reply, error) {
-	reply, err := r.route(ctx, c, func() (link.Reply, error) { return r.callDirect(ctx, c) })
+	reply, err := r.route(ctx, c)
 	if ctx.Err() == nil || err == nil {
 		r.recordResult(err)
 	}
--- a/io/relay/relay.go
+++ b/io/relay/relay.go
@@ -151,10 +151,10 @@
 // work. If it is certain that no peer carried it out, it is made directly after
 // all. A write whose direct outcome is unknown is not retried here; its
 // conditions let the caller retry it.
-func (r *Relay) route(ctx context.Context, c link.Call, direct func() (link.Reply, error)) (link.Reply, error) {
+func (r *Relay) route(ctx context.Context, c link.Call) (link.Reply, error) {
 	if !r.usingPeers() {
 		began := clock.System().Monotonic()
-		reply, err := direct()
+		reply, err := r.callDirect(ctx, c)
 		if err == nil || !fault.Is(err, fault.StoreUnavailable) || ctx.Err() != nil {
 			return reply, err
 		}
@@ -164,9 +164,12 @@
 			return reply, err
 		}
 	}
+	if isRead(c.Op) {
+		return r.read(ctx, c)
+	}
 	reply, err := r.callPeers(ctx, c)
 	if err != nil && fault.Of(err).Outcome == fault.NotRun && ctx.Err() == nil {
-		return direct()
+		return r.callDirect(ctx, c)
 	}
 	return reply, err
 }
@@ -189,9 +192,7 @@
 		var reply link.Reply
 		reply, err = p.call(ctx, c)
 		if err == nil && reply.Err == nil {
-			r.mu.Lock()
-			r.lastPeer = addr
-			r.mu.Unlock()
+			r.recordPeerReply(addr)
 			return reply, nil
 		}
 		if err == nil {
@@ -289,6 +290,13 @@
 	r.dropPeer(addr, p)
 }
 
+// recordPeerReply records that a peer replied.
+func (r *Relay) recordPeerReply(addr string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.lastPeer = addr
+}
+
 // recordPeerFailure records that a peer did not reply.
 func (r *Relay) recordPeerFailure(addr string) {
 	r.mu.Lock()
