Test: a read through a frozen peer goes to the next one within 2 s

Guards the second half of the hedged reads, without silent connections: a host that the store turns away reads through a peer that freezes.

--- a/io/relay/relay_test.go
+++ b/io/relay/relay_test.go
@@ -202,3 +202,22 @@
 	// A host counts as healthy again 3 s after its connections have failed.
 	c.Check(time.Since(began) < 3*time.Second, qt.IsTrue, qt.Commentf("took %s", time.Since(began)))
 }
+
+// Guards against a read that waits for a frozen peer until its time is over: a
+// change of the configuration has to be in force within 2 s.
+func TestReadGoesThroughNextPeerWhenOneIsFrozen(t *testing.T) {
+	c := qt.New(t)
+	refusing, serving := plat.NewStore(), plat.NewStore()
+	refusing.SetFault(plat.Busy)
+	serving.Put("op/config", []byte("{}"))
+	frozen := newProxy(t, servePeer(t, newStoreClient(t, serving)))
+	r := newRelay(t, newStoreClient(t, refusing), frozen.Addr(), servePeer(t, newStoreClient(t, serving)))
+	_, _, err := r.Get(context.Background(), "a/x") // through the first peer
+	c.Assert(err, qt.IsNil)
+	frozen.Set(plat.Silence)
+	began := time.Now()
+	changes, _, err := r.Poll(context.Background(), "op/", 1, 1500)
+	c.Assert(err, qt.IsNil)
+	c.Check(len(changes), qt.Equals, 1)
+	c.Check(time.Since(began) < 2*time.Second, qt.IsTrue, qt.Commentf("took %s", time.Since(began)))
+}
