The copy of the configuration owns the time in which a change arrives

The watch on the configuration waited 1.5 s, and its silence was noticed after 2.1 s, where a change has 2 s; nobody tells it of newer revisions, as the watch on jobs is told. After a silent poll it polled again, so that with a store whose watches hang while it serves all else (a compaction does that for a second) a change did not arrive at all. What bounded the delay was the sum of the time-outs of the layers below, which nobody had added up.

A mirror may now have MaxDelay, the time in which a change has to arrive while the store responds to reads. The poll waits a quarter of it; a poll without a response within half of it is followed by a list, which needs no watch. The mirror of jobs stays as it was.

--- a/cmd/gypsumcrank/front.go
+++ b/cmd/gypsumcrank/front.go
@@ -56,7 +56,7 @@
 	d.relay = &relay.Relay{Direct: direct, Peers: d.peers, Log: log}
 	d.store = d.relay
 	d.jobMirror = &mirror.Mirror{Prefix: store.Root, Store: d.store, Log: log, OnChange: d.index.Apply}
-	d.configMirror = &mirror.Mirror{Prefix: platform.ConfigRoot, Store: d.store, Log: log, OnChange: d.applyConfig}
+	d.configMirror = &mirror.Mirror{Prefix: platform.ConfigRoot, Store: d.store, Log: log, OnChange: d.applyConfig, MaxDelay: settings.ConfigDelay}
 	d.steer = &steer.Coordinator{
 		Node: settings.Node, Addr: settings.Link, Announce: d.announced, Store: d.store, Mirror: d.jobMirror, Index: d.index, Config: d.config, Plan: planSettings(settings), LeaseMin: settings.LeaseMin, Log: log,
 		ServePeer: func(c *link.Conn, first link.Frame) { relay.Serve(c, direct, d.jobMirror.ExpectRevision, first) },
@@ -133,6 +133,7 @@
 	settingsReloader := &reloader{lastRead: d.settings, log: d.log, apply: func(settings platform.Settings) {
 		d.seeds.Store(&settings.Peers)
 		d.steer.SetPlanSettings(planSettings(settings))
+		d.configMirror.SetMaxDelay(settings.ConfigDelay)
 	}}
 	go settingsReloader.run(serving)
 	go d.runShutdown(ctx, stop)
--- a/internal/standin/plat/store.go
+++ b/internal/standin/plat/store.go
@@ -24,6 +24,7 @@
 	Silent             // calls are not carried out and get no response
 	LostResponse       // writes are applied, their responses are dropped
 	StalledWatch       // watches report no changes; other calls work
+	SilentWatch        // watches get no response; other calls work
 )
 
 type item struct {
@@ -147,6 +148,8 @@
 		s.get(w, r)
 	case path == "/v1/kv-range":
 		s.listRange(w, r)
+	case path == "/v1/kv-watch" && fault == SilentWatch:
+		<-r.Context().Done()
 	case path == "/v1/kv-watch":
 		s.watch(w, r)
 	case path == "/v1/kv-txn":
--- a/io/mirror/mirror.go
+++ b/io/mirror/mirror.go
@@ -7,6 +7,7 @@
 	"errors"
 	"log/slog"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"gypsumcrank/core/clock"
@@ -16,9 +17,11 @@
 
 // Timing of the watch.
 const (
-	// pollWait bounds how long a watch that has gone silent goes unnoticed; a
-	// configuration must be in force within 2 s.
-	pollWait = 1500 * clock.Millisecond
+	// defaultPollWait is how long a poll waits for changes if MaxDelay is not set.
+	defaultPollWait = 1500 * clock.Millisecond
+	// pollsPerDelay is how many polls fit into MaxDelay; a poll may take twice its
+	// wait.
+	pollsPerDelay = 4
 	// retryDelay is the wait after a failed call.
 	retryDelay = 100 * time.Millisecond
 	// expectWait is how long an idle watch may take to deliver an expected
@@ -31,9 +34,9 @@
 	// relistInterval is the least time between two lists that a silent watch
 	// causes.
 	relistInterval = clock.Second
-	// lateAfter is how long the store may not have responded before changes that
-	// then arrive are logged as late.
-	lateAfter = pollWait + 200*clock.Millisecond
+	// lateMargin is how long beyond a poll's wait the store may not have responded
+	// before changes that then arrive are logged as late.
+	lateMargin = 500 * clock.Millisecond
 )
 
 // A source says how changes reached the copy.
@@ -52,7 +55,13 @@
 	Log    *slog.Logger
 	// OnChange is called with changes in order, from one goroutine.
 	OnChange func([]store.Change)
+	// MaxDelay bounds how late a change may arrive while the store responds to reads,
+	// even if its watches are silent. A poll that gets no response within half of it
+	// is followed by a list, so it suits prefixes with few keys. 0 sets no bound: the
+	// poll is repeated, and only ExpectRevision causes a list.
+	MaxDelay clock.Millis
 
+	maxDelay    atomic.Int64 // MaxDelay or what SetMaxDelay replaced it by, in milliseconds
 	mu          sync.Mutex
 	keys        map[string]store.KV
 	rev         int64
@@ -72,10 +81,22 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	m.cancel, m.done = cancel, make(chan struct{})
 	m.keys, m.advanced = make(map[string]store.KV), make(chan struct{})
+	m.SetMaxDelay(m.MaxDelay)
 	go m.run(ctx)
 	return nil
 }
 
+// SetMaxDelay replaces MaxDelay, from the next poll on.
+func (m *Mirror) SetMaxDelay(d clock.Millis) { m.maxDelay.Store(int64(d)) }
+
+// pollWait returns how long a poll waits for changes, and whether MaxDelay is set.
+func (m *Mirror) pollWait() (wait clock.Millis, bounded bool) {
+	if d := clock.Millis(m.maxDelay.Load()); d > 0 {
+		return d / pollsPerDelay, true
+	}
+	return defaultPollWait, false
+}
+
 // Stop stops following the prefix.
 func (m *Mirror) Stop(context.Context) error {
 	m.cancel()
@@ -181,6 +202,10 @@
 			}
 		}
 		m.logAvailability(ctx, err)
+		if _, bounded := m.pollWait(); bounded && listed && err != nil {
+			listed = false
+			continue
+		}
 		if err != nil {
 			select {
 			case <-ctx.Done():
@@ -254,7 +279,13 @@
 	}
 	m.mu.Unlock()
 	sent := clock.System().Monotonic()
-	changes, rev, err := m.Store.Poll(ctx, m.Prefix, m.Rev(), pollWait)
+	wait, bounded := m.pollWait()
+	if bounded {
+		var stop context.CancelFunc
+		ctx, stop = context.WithTimeout(ctx, 2*wait.Duration())
+		defer stop()
+	}
+	changes, rev, err := m.Store.Poll(ctx, m.Prefix, m.Rev(), wait)
 	m.mu.Lock()
 	relist = m.cancelPoll == nil
 	m.cancelPoll = nil
@@ -290,7 +321,8 @@
 	}
 	m.mu.Lock()
 	now := clock.System().Monotonic()
-	if quiet := now - m.lastContact; m.lastContact > 0 && quiet > lateAfter && len(fresh) > 0 {
+	wait, _ := m.pollWait()
+	if quiet := now - m.lastContact; m.lastContact > 0 && quiet > wait+lateMargin && len(fresh) > 0 {
 		m.Log.Warn("mirror_late", "prefix", m.Prefix, "quiet_for", quiet, "changes", len(fresh), "from", from, "revision", rev)
 	}
 	m.lastContact, m.confirmedAt = now, max(m.confirmedAt, sent)
--- a/io/mirror/mirror_test.go
+++ b/io/mirror/mirror_test.go
@@ -10,17 +10,18 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"gypsumcrank/core/clock"
 	"gypsumcrank/internal/standin/plat"
 	"gypsumcrank/io/mirror"
 	"gypsumcrank/io/store"
 	"gypsumcrank/platform"
 )
 
-func newMirror(t *testing.T, s *plat.Store) (*mirror.Mirror, *platform.KV) {
+func newMirror(t *testing.T, s *plat.Store, maxDelay clock.Millis) (*mirror.Mirror, *platform.KV) {
 	srv := httptest.NewServer(s)
 	t.Cleanup(srv.CloseClientConnections)
 	k := platform.NewKV(strings.TrimPrefix(srv.URL, "http://"))
-	m := &mirror.Mirror{Prefix: "a/", Store: k, Log: slog.New(slog.DiscardHandler)}
+	m := &mirror.Mirror{Prefix: "a/", Store: k, MaxDelay: maxDelay, Log: slog.New(slog.DiscardHandler)}
 	qt.Assert(t, m.Start(context.Background(), nil), qt.IsNil)
 	t.Cleanup(func() { _ = m.Stop(context.Background()) })
 	return m, k
@@ -32,7 +33,7 @@
 func TestExpectRevisionRelistsWhenWatchIsSilent(t *testing.T) {
 	c := qt.New(t)
 	s := plat.NewStore()
-	m, k := newMirror(t, s)
+	m, k := newMirror(t, s, 0)
 	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
 	defer cancel()
 	c.Assert(m.Wait(ctx, 1), qt.IsNil)
@@ -51,3 +52,22 @@
 		s.SetFault(plat.None)
 	}
 }
+
+// Guards against a configuration that stays out of force while its watch is
+// silent and the store serves all other calls. Nobody tells its copy of newer
+// revisions.
+func TestChangeArrivesInTimeWhileWatchIsSilent(t *testing.T) {
+	c := qt.New(t)
+	s := plat.NewStore()
+	m, _ := newMirror(t, s, 2*clock.Second)
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+	defer cancel()
+	c.Assert(m.Wait(ctx, 1), qt.IsNil)
+	s.SetFault(plat.SilentWatch)
+	for rev := int64(2); rev < 5; rev++ {
+		s.Put("a/config", []byte("v"))
+		began := time.Now()
+		c.Assert(m.Wait(ctx, rev), qt.IsNil)
+		c.Check(time.Since(began) < 2*time.Second, qt.IsTrue, qt.Commentf("took %s", time.Since(began)))
+	}
+}
