No caller is told "no such queue" by a configuration of unknown age

A front whose copy of the configuration was 5.2 s old refused a caller with 404 although the queue had been there for 2.6 s. 401 and 404 are final: the caller gives up. A front said them as firmly by an old version as by a fresh one.

The copy now tells for how long it may have been out of date, counted from when the latest successful call was sent. Beyond the time in which a change has to be in force, an unknown queue or key is refused with 503, not run, and a Retry-After of a second; the log line names the age. Who is known to the old version is served as before: an outage of the store takes no known caller's access away.

TestUnknownQueueIsNotRefusedByStaleConfiguration: fails without Freshness, which is how it was.

--- a/cmd/gypsumcrank/front.go
+++ b/cmd/gypsumcrank/front.go
@@ -57,12 +57,13 @@
 	d.store = d.relay
 	d.jobMirror = &mirror.Mirror{Prefix: store.Root, Store: d.store, Log: log, OnChange: d.index.Apply}
 	d.configMirror = &mirror.Mirror{Prefix: platform.ConfigRoot, Store: d.store, Log: log, OnChange: d.applyConfig, MaxDelay: settings.ConfigDelay}
+	d.config.Freshness = d.configMirror.Freshness
 	d.steer = &steer.Coordinator{
 		Node: settings.Node, Addr: settings.Link, Announce: d.announced, Store: d.store, Mirror: d.jobMirror, Index: d.index, Config: d.config, Plan: planSettings(settings), LeaseMin: settings.LeaseMin, Log: log,
 		ServePeer: func(c *link.Conn, first link.Frame) { relay.Serve(c, direct, d.jobMirror.ExpectRevision, first) },
 		OnJobEnd:  d.notifyFronts,
 	}
-	d.ingress = &platform.Ingress{Config: d.config, ConfigConfirmed: d.configMirror.ConfirmedAt, Front: &front.Front{
+	d.ingress = &platform.Ingress{Config: d.config, Front: &front.Front{
 		Store: d.store, Index: d.index, StoreUnavailable: d.relay.Unavailable, LastContact: d.jobMirror.LastContact, OnWrite: d.notifyPlanner, Log: log,
 	}}
 	return d
--- a/core/route/route.go
+++ b/core/route/route.go
@@ -112,11 +112,45 @@
 }
 
 // Current holds the newest configuration that the process has seen. It never
-// goes back to an older version.
+// goes back to an older version. Set the exported field before use.
 type Current struct {
+	// Freshness, if set, returns for how long the configuration may have been out of
+	// date, and for how long it may be while callers are told that a queue or a key
+	// does not exist; no limit if that is 0.
+	Freshness func() (age, limit clock.Millis)
+
 	config atomic.Pointer[Config]
 }
 
+// staleRetry is when a caller may retry that was refused by a configuration of
+// unknown age.
+const staleRetry = clock.Second
+
+// Admit decides as Config.Admit does, with the newest configuration. An unknown
+// queue or key is a store_out error while the configuration may be out of date:
+// a newer version may hold it.
+func (cur *Current) Admit(host, path, key string) (Admission, error) {
+	a, err := cur.Get().Admit(host, path, key)
+	if err == nil || cur.Freshness == nil || fault.Is(err, fault.StoreUnavailable) {
+		return a, err
+	}
+	if age, limit := cur.Freshness(); limit > 0 && age > limit {
+		return a, fault.New(fault.StoreUnavailable, "retry after the given time", "%s, but the configuration was last confirmed %s ago", fault.Of(err).Detail, age).
+			WithOutcome(fault.NotRun).WithRetry(staleRetry)
+	}
+	return a, err
+}
+
+// Age returns for how long the configuration may have been out of date; 0 if
+// Freshness is not set.
+func (cur *Current) Age() clock.Millis {
+	if cur.Freshness == nil {
+		return 0
+	}
+	age, _ := cur.Freshness()
+	return age
+}
+
 // Apply replaces the configuration by c if c is newer, and reports whether it
 // did.
 func (cur *Current) Apply(c *Config) bool {
--- a/core/route/route_test.go
+++ b/core/route/route_test.go
@@ -5,6 +5,7 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"gypsumcrank/core/clock"
 	"gypsumcrank/core/fault"
 )
 
@@ -49,3 +50,24 @@
 	c.Check(cur.Apply(config(9)), qt.IsTrue)
 	c.Check(cur.Get().Version, qt.Equals, int64(9))
 }
+
+// Guards against telling a caller that a queue or a key does not exist by a
+// configuration that a newer version may have replaced.
+func TestUnknownQueueIsNotRefusedByStaleConfiguration(t *testing.T) {
+	c := qt.New(t)
+	var age clock.Millis
+	cur := &Current{Freshness: func() (clock.Millis, clock.Millis) { return age, 2 * clock.Second }}
+	cur.Apply(config(1))
+	for _, age = range []clock.Millis{0, 2 * clock.Second, 2*clock.Second + 1} {
+		fresh := age <= 2*clock.Second
+		for key, path := range map[string]string{"k1": "/new/5c0e", "new": "/p/5c0e"} {
+			_, err := cur.Admit("a.example", path, key)
+			c.Check(fault.Is(err, fault.NotFound) || fault.Is(err, fault.Denied), qt.Equals, fresh)
+			c.Check(fault.Of(err).Outcome, qt.Equals, fault.NotRun)
+			c.Check(fault.Of(err).RetryAfter > 0, qt.Equals, !fresh)
+		}
+		a, err := cur.Admit("a.example", "/p/5c0e", "k1")
+		c.Check(err, qt.IsNil)
+		c.Check(a.Account, qt.Equals, "acme")
+	}
+}
--- a/io/front/front.go
+++ b/io/front/front.go
@@ -94,14 +94,14 @@
 }
 
 // LogRejected logs why a call was not admitted, and under which configuration
-// version. The path names the job; age is how long ago the version was confirmed
-// to be the newest.
-func (f *Front) LogRejected(method, path string, c *route.Config, age clock.Millis, err error) {
+// version. The path names the job; config_age is how long ago the version was
+// confirmed to be the newest.
+func (f *Front) LogRejected(method, path string, current *route.Current, err error) {
 	version := int64(0)
-	if c != nil {
+	if c := current.Get(); c != nil {
 		version = c.Version
 	}
-	f.Log.Info("caller_not_let_in", "method", method, "path", path, "config_version", version, "error", fault.Of(err).Kind, "reason", fault.Of(err).Detail, "config_age", age)
+	f.Log.Info("caller_not_let_in", "method", method, "path", path, "config_version", version, "error", fault.Of(err).Kind, "reason", fault.Of(err).Detail, "config_age", current.Age())
 }
 
 // checkSupported refuses jobs that this version can't run within its guarantees.
--- a/io/front/front_test.go
+++ b/io/front/front_test.go
@@ -134,12 +134,12 @@
 	f, _ := newFront(t)
 	var out strings.Builder
 	f.Log = slog.New(slog.NewTextHandler(&out, nil))
-	var none *route.Config
-	_, err := none.Admit("h", "/q/00000000000000a1", "k")
-	f.LogRejected("POST", "/q/00000000000000a1", none, 0, err)
-	some := (&route.Config{Version: 7}).Prepare()
-	_, err = some.Admit("h", "/q/00000000000000a2", "k")
-	f.LogRejected("GET", "/q/00000000000000a2", some, 2*clock.Second, err)
+	current := &route.Current{Freshness: func() (age, limit clock.Millis) { return 2 * clock.Second, 0 }}
+	_, err := current.Admit("h", "/q/00000000000000a1", "k")
+	f.LogRejected("POST", "/q/00000000000000a1", current, err)
+	current.Apply((&route.Config{Version: 7}).Prepare())
+	_, err = current.Admit("h", "/q/00000000000000a2", "k")
+	f.LogRejected("GET", "/q/00000000000000a2", current, err)
 	c.Check(out.String(), qt.Contains, "path=/q/00000000000000a1 config_version=0 error=store_out")
 	c.Check(out.String(), qt.Contains, "path=/q/00000000000000a2 config_version=7 error=not_found")
 	c.Check(out.String(), qt.Contains, "config_age=2s")
--- a/io/mirror/mirror.go
+++ b/io/mirror/mirror.go
@@ -120,13 +120,13 @@
 	return m.lastContact
 }
 
-// ConfirmedAt returns since when the copy may be out of date, on the monotonic
-// clock: it holds all changes that were made before. It is 0 before the first
-// list.
-func (m *Mirror) ConfirmedAt() clock.Millis {
+// Freshness returns for how long the copy may have been out of date, and MaxDelay:
+// the copy holds all changes that were made before the latest successful call was
+// sent. Before the first list the age is that of the process.
+func (m *Mirror) Freshness() (age, maxDelay clock.Millis) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return m.confirmedAt
+	return clock.System().Monotonic() - m.confirmedAt, clock.Millis(m.maxDelay.Load())
 }
 
 // ExpectRevision says that the store has reached a revision. If the watch does
