A new planner can't miss a configuration, nor go back to an older one

A term read the configuration, and only then became the term that Reconfigure passes newer versions to: a version applied in between never reached the planner, which kept guarantees by the older one until the next change. In the other order, which is used now, the two messages may swap, and the planner took whatever came last.

The term is announced first and reads the configuration after that; the planner ignores a version older than its own, and logs the one it follows (planner_configured), so that a start can be traced to a version.

TestAnOlderConfigurationDoesNotReplaceANewerOne: 5, 4, 7 were all adopted before, now 5 and 7. The lost message has no test of its own: nothing observable happens between the two lines that were swapped.

--- a/core/plan/plan.go
+++ b/core/plan/plan.go
@@ -9,6 +9,8 @@
 package plan
 
 import (
+	"fmt"
+
 	"gypsumcrank/core/clock"
 	"gypsumcrank/core/route"
 	"gypsumcrank/core/task"
@@ -69,8 +71,7 @@
 	p.effects = Effects{}
 	switch m := msg.(type) {
 	case ConfigMsg:
-		p.config = m.Config
-		p.changed = true
+		p.applyConfig(m.Config)
 	case JobMsg:
 		p.addJob(m)
 	case CancelMsg:
@@ -96,6 +97,17 @@
 	return p.effects
 }
 
+// applyConfig replaces the configuration unless the planner has a newer one: the
+// messages of a new term may arrive out of order.
+func (p *Planner) applyConfig(c *route.Config) {
+	if p.config != nil && p.config.Version > c.Version {
+		return
+	}
+	p.config = c
+	p.changed = true
+	p.emit(Event{Kind: "planner_configured", Detail: fmt.Sprintf("version %d", c.Version)})
+}
+
 // Pause sets whether the planner is kept from placing tasks, because its lease is
 // in doubt.
 func (p *Planner) Pause(on bool) {
--- a/core/plan/plan_test.go
+++ b/core/plan/plan_test.go
@@ -9,6 +9,7 @@
 
 	"gypsumcrank/core/clock"
 	"gypsumcrank/core/plan"
+	"gypsumcrank/core/route"
 	"gypsumcrank/core/task"
 )
 
@@ -49,6 +50,20 @@
 	qt.Assert(t, f.records["a"].Tasks[0].Failures, qt.Equals, 1)
 }
 
+// Guards against a planner that follows an older configuration: at the start of a
+// term the versions may arrive in any order.
+func TestAnOlderConfigurationDoesNotReplaceANewerOne(t *testing.T) {
+	c := qt.New(t)
+	p := &plan.Planner{Epoch: 1, Settings: plan.DefaultSettings()}
+	var adopted []string
+	for _, version := range []int64{5, 4, 7} {
+		for _, e := range p.Update(plan.Instant{}, plan.ConfigMsg{Config: (&route.Config{Version: version}).Prepare()}).Events {
+			adopted = append(adopted, e.Detail)
+		}
+	}
+	c.Check(adopted, qt.DeepEquals, []string{"version 5", "version 7"})
+}
+
 func TestAJobThatAlwaysFailsEndsAfterItsAttempts(t *testing.T) {
 	f := newFleet(t, 4, 2, workerResources)
 	starts := map[int]bool{}
--- a/io/steer/term.go
+++ b/io/steer/term.go
@@ -59,10 +59,12 @@
 	t.ended = make(chan string, 1)
 	t.loop = &kern.Loop{Model: t}
 	t.loop.Start()
+	s.setTerm(t)
+	// Read after setTerm, so that a newer version is either read here or passed on by
+	// Reconfigure.
 	if c := s.Config.Get(); c != nil {
 		t.loop.Send(plan.ConfigMsg{Config: c})
 	}
-	s.setTerm(t)
 	unlisten := s.Index.Listen(t.send)
 	renewing, stop := context.WithCancel(ctx)
 	go t.runRenew(renewing)
