--- a/cmd/gypsumcrank/front.go
+++ b/cmd/gypsumcrank/front.go
@@ -217,6 +217,7 @@
 		}
 		c, err := platform.ReadConfig(ch.Value)
 		if err != nil {
+			d.config.MarkUnreadable()
 			d.log.Error("config_unreadable", "revision", ch.Rev, "error", err)
 			continue
 		}
--- a/core/route/route.go
+++ b/core/route/route.go
@@ -5,6 +5,7 @@
 package route
 
 import (
+	"fmt"
 	"strings"
 	"sync/atomic"
 
@@ -119,7 +120,8 @@
 	// does not exist; no limit if that is 0.
 	Freshness func() (age, limit clock.Millis)
 
-	config atomic.Pointer[Config]
+	config     atomic.Pointer[Config]
+	unreadable atomic.Bool // the newest version could not be read
 }
 
 // staleRetry is when a caller may retry that was refused by a configuration of
@@ -131,16 +133,34 @@
 // a newer version may hold it.
 func (cur *Current) Admit(host, path, key string) (Admission, error) {
 	a, err := cur.Get().Admit(host, path, key)
-	if err == nil || cur.Freshness == nil || fault.Is(err, fault.StoreUnavailable) {
+	if err == nil || fault.Is(err, fault.StoreUnavailable) {
 		return a, err
 	}
+	why := cur.doubt()
+	if why == "" {
+		return a, err
+	}
+	return a, fault.New(fault.StoreUnavailable, "retry after the given time", "%s, but %s", fault.Of(err).Detail, why).WithOutcome(fault.NotRun).WithRetry(staleRetry)
+}
+
+// doubt returns why a newer version may be in force, or "".
+func (cur *Current) doubt() string {
+	if cur.unreadable.Load() {
+		return "the newest configuration could not be read"
+	}
+	if cur.Freshness == nil {
+		return ""
+	}
 	if age, limit := cur.Freshness(); limit > 0 && age > limit {
-		return a, fault.New(fault.StoreUnavailable, "retry after the given time", "%s, but the configuration was last confirmed %s ago", fault.Of(err).Detail, age).
-			WithOutcome(fault.NotRun).WithRetry(staleRetry)
+		return fmt.Sprintf("the configuration was last confirmed %s ago", age)
 	}
-	return a, err
+	return ""
 }
 
+// MarkUnreadable says that a newer version could not be read. Until one is applied,
+// the configuration counts as out of date.
+func (cur *Current) MarkUnreadable() { cur.unreadable.Store(true) }
+
 // Age returns for how long the configuration may have been out of date; 0 if
 // Freshness is not set.
 func (cur *Current) Age() clock.Millis {
@@ -160,6 +180,7 @@
 			return false
 		}
 		if cur.config.CompareAndSwap(old, c) {
+			cur.unreadable.Store(false)
 			return true
 		}
 	}
--- a/core/route/route_test.go
+++ b/core/route/route_test.go
@@ -71,3 +71,15 @@
 		c.Check(a.Account, qt.Equals, "acme")
 	}
 }
+
+func TestUnknownQueueIsNotRefusedWhenNewestConfigurationIsUnreadable(t *testing.T) {
+	c := qt.New(t)
+	var cur Current
+	cur.Apply(config(1))
+	cur.MarkUnreadable()
+	_, err := cur.Admit("b.example", "/p/5c0e", "k1")
+	c.Check(fault.Is(err, fault.StoreUnavailable), qt.IsTrue)
+	cur.Apply(config(3))
+	_, err = cur.Admit("b.example", "/p/5c0e", "k1")
+	c.Check(fault.Is(err, fault.NotFound), qt.IsTrue)
+}
