Mirror: a refused poll waits before the list that follows it

The list now waits the same 100 ms as every retry. TestChangeArrivesInTimeWhileWatchIsSilent takes 1.1 s a change instead of 1.0 s; bound 2 s.

--- a/io/mirror/mirror.go
+++ b/io/mirror/mirror.go
@@ -202,11 +202,10 @@
 			}
 		}
 		m.logAvailability(ctx, err)
-		if _, bounded := m.pollWait(); bounded && listed && err != nil {
-			listed = false
-			continue
-		}
 		if err != nil {
+			if _, bounded := m.pollWait(); bounded {
+				listed = false
+			}
 			select {
 			case <-ctx.Done():
 			case <-time.After(retryDelay):
