Relay: a read that ends with its deadline is logged too; names

The copy of the configuration gives its polls a deadline of its own. A direct poll that ended with it left no store_call_failed line, only one that the client's own time-out ended.

--- a/io/mirror/mirror.go
+++ b/io/mirror/mirror.go
@@ -39,7 +39,7 @@
 	lateMargin = 500 * clock.Millisecond
 )
 
-// A source says how changes reached the copy.
+// source is the kind of call that brought changes.
 type source string
 
 const (
--- a/io/relay/hedge.go
+++ b/io/relay/hedge.go
@@ -63,7 +63,7 @@
 			if got.err == nil || !fault.Is(got.err, fault.StoreUnavailable) {
 				return got.reply, got.err
 			}
-		case <-time.After(h.patience().Duration()):
+		case <-time.After(h.routeWait().Duration()):
 			if next == len(peers) {
 				return r.callDirect(ctx, c)
 			}
@@ -76,8 +76,8 @@
 	return r.callDirect(ctx, c)
 }
 
-// patience is how long the read waits for one route before it tries the next.
-func (h *hedge) patience() clock.Millis { return h.call.Wait + hedgeDelay }
+// routeWait is how long the read waits for one route before it tries the next.
+func (h *hedge) routeWait() clock.Millis { return h.call.Wait + hedgeDelay }
 
 // run makes the call through one peer. A peer that does not reply in time is ranked
 // last, and its connection is closed, because it may have gone silent.
@@ -92,7 +92,7 @@
 	began := clock.System().Monotonic()
 	reply, err := p.call(ctx, h.call)
 	took := clock.System().Monotonic() - began
-	late := took >= h.patience()
+	late := took >= h.routeWait()
 	switch {
 	case err == nil && reply.Err == nil:
 		r.recordPeerReply(addr)
--- a/io/relay/relay.go
+++ b/io/relay/relay.go
@@ -3,6 +3,8 @@
 //
 // A Relay is a store.TxnStore over a direct one. After a failed direct call it
 // sends calls through a peer, until a probe finds that the direct route works.
+// Reads don't depend on one peer: they are sent through the next one as well if
+// the first is late.
 package relay
 
 import (
@@ -155,10 +157,13 @@
 	if !r.usingPeers() {
 		began := clock.System().Monotonic()
 		reply, err := r.callDirect(ctx, c)
-		if err == nil || !fault.Is(err, fault.StoreUnavailable) || ctx.Err() != nil {
+		if err == nil || !fault.Is(err, fault.StoreUnavailable) || ctx.Err() == context.Canceled {
 			return reply, err
 		}
 		r.failures.write(r.Log, directRoute, c, clock.System().Monotonic()-began, err)
+		if ctx.Err() != nil {
+			return reply, err
+		}
 		r.setViaPeers(true, err)
 		if c.Op == link.OpCommit && fault.Of(err).Outcome != fault.NotRun {
 			return reply, err
