Closed data centres: nothing starts there, whoever plans

Change: the front's mirror of the operator's keys brings the closings (core/centre, by revision), and the planner gets them before every message with the time up to which they are complete. It leaves closed workers out of placement, drops recorded starts there, resends none, and starts nothing at all while a closing could be older than the bound without its knowledge. Sides report their data centre.

--- a/cmd/gypsumcrank/front.go
+++ b/cmd/gypsumcrank/front.go
@@ -4,9 +4,11 @@
 	"context"
 	"log/slog"
 	"slices"
+	"strings"
 	"sync/atomic"
 	"time"
 
+	"gypsumcrank/core/centre"
 	"gypsumcrank/core/clock"
 	"gypsumcrank/core/fault"
 	"gypsumcrank/core/kern"
@@ -34,6 +36,7 @@
 	store        store.TxnStore
 	relay        *relay.Relay
 	config       *route.Current
+	closed       *centre.Current
 	index        *front.Index
 	jobMirror    *mirror.Mirror
 	configMirror *mirror.Mirror
@@ -47,7 +50,7 @@
 
 func newFrontDaemon(settings platform.Settings, announce string, log *slog.Logger) *frontDaemon {
 	direct := platform.NewKV(settings.Store)
-	d := &frontDaemon{settings: settings, log: log, config: &route.Current{}, announced: announce}
+	d := &frontDaemon{settings: settings, log: log, config: &route.Current{}, closed: &centre.Current{}, announced: announce}
 	if d.announced == "" {
 		d.announced = settings.Link
 	}
@@ -56,10 +59,10 @@
 	d.relay = &relay.Relay{Direct: direct, Peers: d.peers, Log: log}
 	d.store = d.relay
 	d.jobMirror = &mirror.Mirror{Prefix: store.Root, Store: d.store, Log: log, OnChange: d.index.Apply}
-	d.configMirror = &mirror.Mirror{Prefix: platform.ConfigRoot, Store: d.store, Log: log, OnChange: d.applyConfig, MaxDelay: settings.ConfigDelay}
-	d.config.Freshness = d.configMirror.Freshness
+	d.configMirror = &mirror.Mirror{Prefix: platform.ConfigRoot, Store: d.store, Log: log, OnChange: d.applyOperatorChanges, MaxDelay: settings.OperatorDelay()}
+	d.config.Freshness, d.closed.ConfirmedAt = d.configMirror.Freshness, d.configMirror.ConfirmedAt
 	d.steer = &steer.Coordinator{
-		Node: settings.Node, Addr: settings.Link, Announce: d.announced, Store: d.store, Mirror: d.jobMirror, Index: d.index, Config: d.config, Plan: planSettings(settings), LeaseMin: settings.LeaseMin, Log: log,
+		Node: settings.Node, Addr: settings.Link, Announce: d.announced, Store: d.store, Mirror: d.jobMirror, Index: d.index, Config: d.config, Closed: d.closed, Plan: planSettings(settings), LeaseMin: settings.LeaseMin, Log: log,
 		ServePeer: func(c *link.Conn, first link.Frame) { relay.Serve(c, direct, d.jobMirror.ExpectRevision, first) },
 		OnJobEnd:  d.notifyFronts,
 	}
@@ -112,6 +115,7 @@
 	}
 	p.Retention = bounds.KeepEnded + retentionMargin
 	p.MaxStopTime, p.ReclaimLimit, p.CrossRackFactor = bounds.StopTime, bounds.Reclaim, bounds.FarFactor
+	p.CloseDelay = bounds.CloseDelay
 	return p
 }
 
@@ -134,7 +138,7 @@
 	settingsReloader := &reloader{lastRead: d.settings, log: d.log, apply: func(settings platform.Settings) {
 		d.seeds.Store(&settings.Peers)
 		d.steer.SetPlanSettings(planSettings(settings))
-		d.configMirror.SetMaxDelay(settings.ConfigDelay)
+		d.configMirror.SetMaxDelay(settings.OperatorDelay())
 	}}
 	go settingsReloader.run(serving)
 	go d.runShutdown(ctx, stop)
@@ -210,6 +214,21 @@
 	return lease
 }
 
+// applyOperatorChanges applies what the operator wrote. Closed data centres come
+// first: the planner places nothing before it has a configuration.
+func (d *frontDaemon) applyOperatorChanges(changes []store.Change) {
+	var closings []centre.Change
+	for _, ch := range changes {
+		if c, ok := platform.ReadClosing(ch); ok {
+			closings = append(closings, c)
+		}
+	}
+	if d.closed.Apply(closings...) {
+		d.log.Info("closed_data_centres_changed", "closed", strings.Join(d.closed.Get().Names(), ","), "revision", d.closed.Get().Rev())
+	}
+	d.applyConfig(changes)
+}
+
 func (d *frontDaemon) applyConfig(changes []store.Change) {
 	for _, ch := range changes {
 		if ch.Key != platform.ConfigKey || ch.Deleted {
--- a/cmd/gypsumcrank/platform.go
+++ b/cmd/gypsumcrank/platform.go
@@ -97,7 +97,7 @@
 
 // newSide creates a side and a kernel with its services.
 func newSide(settings platform.Settings, log *slog.Logger) (*kern.Kernel, *side.Side) {
-	s := &side.Side{Node: settings.Node, Fronts: settings.Peers, Store: platform.NewKV(settings.Store), Worker: platform.NewWorker(settings.Worker), Log: log}
+	s := &side.Side{Node: settings.Node, DataCentre: settings.DataCentre, Fronts: settings.Peers, Store: platform.NewKV(settings.Store), Worker: platform.NewWorker(settings.Worker), Log: log}
 	heartbeats := &httpd.Server{Addr: settings.Control, Log: log}
 	platform.ServeHeartbeats(heartbeats, s)
 	k := &kern.Kernel{Log: log}
--- a/cmd/gypsumcrank/platform_test.go
+++ b/cmd/gypsumcrank/platform_test.go
@@ -5,12 +5,14 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"maps"
 	"net"
 	"net/http"
 	"net/http/httptest"
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -38,6 +40,9 @@
 			"signal":   siteCmd((*site).signal),
 			"restart":  siteCmd((*site).restart),
 			"store":    siteCmd((*site).setStore),
+			"close":    siteCmd((*site).closeCentre),
+			"reopen":   siteCmd((*site).reopenCentre),
+			"absent":   siteCmd((*site).checkAbsent),
 			"runs":     siteCmd((*site).awaitRunning),
 			"log":      siteCmd((*site).awaitLog),
 			"ready":    siteCmd((*site).awaitReadyStatus),
@@ -212,9 +217,9 @@
 		return err
 	}
 	raw, err := json.Marshal(map[string]any{
-		"node_name": name, "ip": "127.0.0.1", "listen_addrs": listen, "port_range": []int{port, port}, "app": app,
+		"node_name": name, "ip": "127.0.0.1", "zone": fmt.Sprintf("dc-%d", i%2), "listen_addrs": listen, "port_range": []int{port, port}, "app": app,
 		"platform": map[string]string{"address": storeAddr}, "limits": map[string]int{"memory_mb": 200},
-		"bounds": map[string]any{"grace_s": 6, "hold_max_ms": 6000, "status_s": 120, "stop_ms": 200, "reclaim_ms": 2700},
+		"bounds": map[string]any{"grace_s": 6, "hold_max_ms": 6000, "status_s": 120, "stop_ms": 200, "reclaim_ms": 2700, "evacuate_ms": 5000},
 	})
 	if err != nil {
 		return err
@@ -460,6 +465,31 @@
 	return nil
 }
 
+// closeCentre closes a data centre: dc-0 or dc-1, those of the processes with even
+// and odd numbers. Argument: NAME.
+func (s *site) closeCentre(args []string) error {
+	s.store.Put("op/evacuate/"+args[0], []byte("{}"))
+	return nil
+}
+
+// reopenCentre reopens a data centre. Argument: NAME.
+func (s *site) reopenCentre(args []string) error {
+	s.store.Remove("op/evacuate/" + args[0])
+	return nil
+}
+
+// checkAbsent checks that no task of a job runs, or has ended done, beside a side.
+// Arguments: ID SIDE.
+func (s *site) checkAbsent(args []string) error {
+	e := s.executors[args[1]]
+	for _, task := range append(e.Running(), slices.Collect(maps.Keys(e.Done()))...) {
+		if strings.HasPrefix(task, args[0]) {
+			return fmt.Errorf("%s started beside %s", task, args[1])
+		}
+	}
+	return nil
+}
+
 // awaitLog waits until a process has logged a text. Arguments: NAME TEXT SECONDS.
 func (s *site) awaitLog(args []string) error {
 	d, err := s.process(args[0])
--- a/core/plan/check_test.go
+++ b/core/plan/check_test.go
@@ -42,6 +42,9 @@
 	if h.service != j.Service {
 		f.t.Fatalf("%d: %s of service %s starts on %s of service %s", f.now, r.name, j.Service, h.node, h.service)
 	}
+	if at, closed := f.closedAt[h.centre]; closed && f.now > at+f.closeDelay {
+		f.t.Fatalf("%d: %s starts on %s in %s, which was closed at %d", f.now, r.name, h.node, h.centre, at)
+	}
 	for _, o := range f.hosts {
 		if o != h && !o.down && o.runs[r.name.String()] != nil {
 			f.t.Fatalf("%d: %s runs on %s and %s", f.now, r.name, o.node, h.node)
--- a/core/plan/fleet_test.go
+++ b/core/plan/fleet_test.go
@@ -6,6 +6,7 @@
 	"sort"
 	"testing"
 
+	"gypsumcrank/core/centre"
 	"gypsumcrank/core/clock"
 	"gypsumcrank/core/plan"
 	"gypsumcrank/core/route"
@@ -41,6 +42,11 @@
 	acknowledged     map[string]bool       // completed tasks whose end the planner acknowledged
 	finishedAt       map[string]clock.Millis
 	checkpoints      map[string]bool // checkpoints that were listed, with the task or gang that they belong to
+	closed           centre.Current
+	closedAt         map[string]clock.Millis // when each closed data centre was closed
+	closeDelay       clock.Millis            // how long after that starts are allowed there
+	operatorSilent   bool                    // the planner hears nothing about data centres
+	events           map[string]int          // events of the planners, by kind
 	evicted          int
 	lostWork         float64 // core-milliseconds of work that were stopped and not saved
 }
@@ -60,6 +66,7 @@
 	f := &fleet{
 		t: t, now: 1_000_000, storeDelay: 8, jobs: map[string]*task.Job{}, cancels: map[string]bool{},
 		records: map[string]*task.Progress{}, revs: map[string]int64{}, completed: map[string]bool{}, acknowledged: map[string]bool{}, finishedAt: map[string]clock.Millis{}, checkpoints: map[string]bool{},
+		closedAt: map[string]clock.Millis{}, events: map[string]int{},
 	}
 	f.config = (&route.Config{Version: 1, Accounts: map[string]route.Account{}}).Prepare()
 	f.duration = func(j *task.Job, step int, _ *host) clock.Millis { return j.Steps[step].Estimate }
@@ -88,6 +95,7 @@
 	f.rev++
 	f.epoch = f.rev
 	f.planner = f.newPlanner(f.epoch)
+	f.sendClosed()
 	f.send(plan.ConfigMsg{Config: f.config})
 	for _, id := range f.ids() {
 		f.send(f.jobMsg(id))
@@ -147,6 +155,7 @@
 		f.schedule(networkDelay, func() { f.grant(g) })
 	}
 	for _, n := range e.Events {
+		f.events[n.Kind]++
 		if n.Kind == "task_evicted" {
 			f.evicted++
 		}
@@ -256,6 +265,7 @@
 			h.step()
 		}
 		if f.now%100 == 0 {
+			f.sendClosed()
 			f.send(plan.TickMsg{})
 		}
 	}
--- a/core/plan/host_test.go
+++ b/core/plan/host_test.go
@@ -16,6 +16,7 @@
 	service            string
 	incarnation        task.Incarnation
 	rack               string
+	centre             string // data centre
 	resources          task.Resources
 	fence              int64
 	leaseUntil         clock.Millis
@@ -51,7 +52,7 @@
 )
 
 func (h *host) baseReport() plan.ReportMsg {
-	return plan.ReportMsg{Node: h.node, Incarnation: h.incarnation, Service: h.service, Rack: h.rack, Capacity: h.resources}
+	return plan.ReportMsg{Node: h.node, Incarnation: h.incarnation, Service: h.service, Rack: h.rack, Capacity: h.resources, DataCentre: h.centre}
 }
 
 // clock returns the worker's monotonic clock, which starts with its incarnation.
--- a/core/plan/job.go
+++ b/core/plan/job.go
@@ -24,6 +24,7 @@
 	dirty          bool
 	followUps      []followUp
 	removing       bool
+	closedWaitRev  int64 // set of closed data centres for which a wait was logged last
 }
 
 // gang is the members of one gang step in one occurrence.
--- a/core/plan/msg.go
+++ b/core/plan/msg.go
@@ -1,6 +1,7 @@
 package plan
 
 import (
+	"gypsumcrank/core/centre"
 	"gypsumcrank/core/clock"
 	"gypsumcrank/core/route"
 	"gypsumcrank/core/task"
@@ -9,6 +10,12 @@
 // ConfigMsg reports that a newer configuration is in force.
 type ConfigMsg struct{ Config *route.Config }
 
+// ClosedMsg brings the set of data centres that are closed for new work.
+type ClosedMsg struct {
+	Closed    *centre.Closed
+	Confirmed clock.Millis // monotonic time up to which all closings are known
+}
+
 // JobMsg adds a stored job, with its progress if it has any.
 type JobMsg struct {
 	Job       *task.Job
@@ -69,6 +76,7 @@
 	AnsweredOrders int64         `cbor:"12,keyasint,omitempty"` // orders answered before the lists were requested
 	Running        []RunningTask `cbor:"13,keyasint,omitempty"`
 	Ended          []EndedTask   `cbor:"14,keyasint,omitempty"`
+	DataCentre     string        `cbor:"15,keyasint,omitempty"` // empty if the side does not know it
 }
 
 // LinkMsg reports that the connection to a side was made or lost.
--- a/core/plan/order.go
+++ b/core/plan/order.go
@@ -17,10 +17,14 @@
 		return
 	}
 	w := u.placedOn
-	if w.dead || w.draining || !w.acceptedEpoch || u.job.state.Ended() {
+	if w.dead || w.draining || !w.acceptedEpoch || p.inClosedCentre(w) || u.job.state.Ended() {
 		p.abandonStart(u)
 		return
 	}
+	if p.startsHeld() {
+		p.holdStart(u)
+		return
+	}
 	u.setPhase(starting)
 	if u.gang != nil && u.gang.startedAt == 0 {
 		u.gang.startedAt = p.now.Monotonic
@@ -90,10 +94,13 @@
 }
 
 // resendStart sends a start order again, or stops the run if it was sent
-// maxStarts times.
+// maxStarts times or its data centre was closed.
 func (p *Planner) resendStart(u *unit) {
 	u.startInDoubt = true
-	if u.startsSent < maxStarts {
+	if p.startsHeld() {
+		return // resend tries again
+	}
+	if u.startsSent < maxStarts && !p.inClosedCentre(u.placedOn) {
 		p.sendStart(u)
 		return
 	}
--- a/core/plan/place.go
+++ b/core/plan/place.go
@@ -54,7 +54,7 @@
 
 // usable reports whether a worker may be given new tasks.
 func (p *Planner) usable(w *worker) bool {
-	if w.dead || w.draining || !w.acceptedEpoch || !w.linked || !w.tombstonesAcknowledged() || p.now.Monotonic < w.backoffUntil || w.health.quarantined(p.now.Monotonic) {
+	if w.dead || w.draining || p.inClosedCentre(w) || !w.acceptedEpoch || !w.linked || !w.tombstonesAcknowledged() || p.now.Monotonic < w.backoffUntil || w.health.quarantined(p.now.Monotonic) {
 		return false
 	}
 	// A worker without a recent report would start tasks on a short lease.
@@ -84,7 +84,7 @@
 // capacity for it.
 func (p *Planner) hasAlternative(u *unit) bool {
 	for _, w := range p.workers {
-		if !w.dead && !w.draining && w.linked && matches(w, u) && !u.avoid[w.incarnation] && u.need().Fits(w.capacity) {
+		if !w.dead && !w.draining && !p.inClosedCentre(w) && w.linked && matches(w, u) && !u.avoid[w.incarnation] && u.need().Fits(w.capacity) {
 			return true
 		}
 	}
--- a/core/plan/plan.go
+++ b/core/plan/plan.go
@@ -31,6 +31,9 @@
 	MaxStopTime      clock.Millis // longest time that a stop takes
 	ReclaimLimit     clock.Millis // time within which guaranteed work must start
 	CrossRackFactor  float64      // how many times as long work takes on the wrong rack or across racks
+	// CloseDelay is the time after which nothing may start any more in a data centre
+	// that was closed; 0 if no data centre is ever closed.
+	CloseDelay clock.Millis
 }
 
 // DefaultSettings returns settings for workers that accept leases of 6 s.
@@ -62,6 +65,7 @@
 	changed       bool                      // a placement that failed before may succeed now
 	effects       Effects
 	paused        bool // no task is placed
+	closings      closings
 }
 
 // Update applies one message and returns what the caller must carry out.
@@ -84,10 +88,12 @@
 		p.applyResult(m)
 	case WrittenMsg:
 		p.applyWritten(m)
+	case ClosedMsg:
+		p.applyClosed(m)
 	case TickMsg:
 		p.tick()
 	}
-	if p.changed && !p.paused && p.config != nil {
+	if p.changed && !p.paused && p.config != nil && !p.startsHeld() {
 		p.changed = false
 		p.lastScheduled = p.now.Monotonic
 		clear(p.totals)
@@ -143,6 +149,7 @@
 		p.resend(w)
 	}
 	p.evictOverdue()
+	p.checkClosings()
 	for _, j := range p.jobs {
 		p.addDueOccurrences(j)
 		p.removeExpired(j)
--- a/core/plan/sched.go
+++ b/core/plan/sched.go
@@ -60,6 +60,7 @@
 			}
 		}
 		blocked[key] = true
+		p.reportClosedWait(r)
 		if r.priority() == 0 {
 			if !p.useReservation(s, r) && p.needsResourcesNow(r) {
 				p.evictFor(s, r)
--- a/core/plan/worker.go
+++ b/core/plan/worker.go
@@ -14,6 +14,7 @@
 	service       string
 	kind          string
 	rack          string
+	centre        string // data centre; empty if it is not known
 	capacity      task.Resources
 	used          task.Resources
 	units         map[*unit]bool
@@ -173,6 +174,7 @@
 	if w.dead {
 		return
 	}
+	p.setCentre(w, m.DataCentre)
 	if m.Gone {
 		p.markDead(w, "left")
 		return
--- a/internal/standin/plat/store.go
+++ b/internal/standin/plat/store.go
@@ -82,6 +82,15 @@
 	s.notify()
 }
 
+// Remove removes a key unconditionally, as an operator does.
+func (s *Store) Remove(key string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.rev++
+	s.remove(key)
+	s.notify()
+}
+
 func (s *Store) write(it item) {
 	it.Revision, it.Created = s.rev, s.rev
 	if old, ok := s.items[it.Key]; ok {
--- a/io/mirror/mirror.go
+++ b/io/mirror/mirror.go
@@ -129,6 +129,14 @@
 	return clock.System().Monotonic() - m.confirmedAt, clock.Millis(m.maxDelay.Load())
 }
 
+// ConfirmedAt returns the monotonic time up to which the copy holds all changes; 0
+// before the first list.
+func (m *Mirror) ConfirmedAt() clock.Millis {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.confirmedAt
+}
+
 // ExpectRevision says that the store has reached a revision. If the watch does
 // not deliver it soon, all keys are listed again: a watch may be silent while
 // changes are made.
--- a/io/side/side.go
+++ b/io/side/side.go
@@ -77,12 +77,13 @@
 // Side connects one endpoint and its worker to the planner. Set the exported
 // fields before Start.
 type Side struct {
-	Node   string
-	Fronts []string // asked for the planner, besides those in the store
-	Store  store.TxnStore
-	Worker Worker
-	Clock  clock.Clock
-	Log    *slog.Logger
+	Node       string
+	DataCentre string   // where the host is
+	Fronts     []string // asked for the planner, besides those in the store
+	Store      store.TxnStore
+	Worker     Worker
+	Clock      clock.Clock
+	Log        *slog.Logger
 
 	mu             sync.Mutex
 	endpoint       *Endpoint
@@ -160,7 +161,7 @@
 func (s *Side) newReport(e Endpoint) *plan.ReportMsg {
 	return &plan.ReportMsg{
 		Node: s.Node, Incarnation: e.Incarnation, Service: e.Service, Kind: e.Kind, Rack: e.Rack,
-		Capacity: e.Capacity, Draining: e.Draining, Remaining: e.Remaining,
+		Capacity: e.Capacity, Draining: e.Draining, Remaining: e.Remaining, DataCentre: s.DataCentre,
 	}
 }
 
--- a/io/steer/steer.go
+++ b/io/steer/steer.go
@@ -12,6 +12,7 @@
 	"sync"
 	"time"
 
+	"gypsumcrank/core/centre"
 	"gypsumcrank/core/clock"
 	"gypsumcrank/core/fault"
 	"gypsumcrank/core/kern"
@@ -66,6 +67,7 @@
 	Mirror   *mirror.Mirror // of store.Root
 	Index    *front.Index
 	Config   *route.Current
+	Closed   *centre.Current // the data centres that are closed for new work
 	Plan     plan.Settings
 	// LeaseMin is the shortest lease that the store grants.
 	LeaseMin clock.Millis
--- a/io/steer/term.go
+++ b/io/steer/term.go
@@ -31,6 +31,7 @@
 	closing         atomic.Bool           // the loop is about to stop and takes no more messages
 	leaseInDoubt    bool
 	gaugesAt        clock.Millis // when the gauges were last updated
+	closed          plan.ClosedMsg
 }
 
 // connMsg reports a new connection to a side.
@@ -162,7 +163,25 @@
 		t.checkLease(now.Monotonic)
 		t.updateGauges(now.Monotonic)
 	}
-	return t.apply(now, t.planner.Update(now, msg))
+	cmds := t.updateClosed(now)
+	return append(cmds, t.apply(now, t.planner.Update(now, msg))...)
+}
+
+// updateClosed passes on which data centres are closed if that is not up to date.
+// It is read here and not sent to the loop, so that no message that waits in the
+// loop makes it older than its time of confirmation says.
+func (t *term) updateClosed(now plan.Instant) []kern.Cmd {
+	s := t.coord
+	if s.Closed == nil {
+		return nil
+	}
+	next := plan.ClosedMsg{Confirmed: s.Closed.Confirmed()} // before Get
+	next.Closed = s.Closed.Get()
+	if next == t.closed || next.Closed == nil {
+		return nil
+	}
+	t.closed = next
+	return t.apply(now, t.planner.Update(now, next))
 }
 
 // gaugeInterval is how often the task gauges are updated.
@@ -174,6 +193,10 @@
 		return
 	}
 	t.gaugesAt = now
+	meter.ClearGauge("closed_data_centre_tasks")
+	for name, n := range t.planner.TasksInClosedCentres() {
+		meter.Gauge("closed_data_centre_tasks", int64(n), name)
+	}
 	meter.ClearGauge("tasks")
 	for key, n := range t.planner.TaskCounts() {
 		meter.Gauge("tasks", int64(n), key.Account, "priority_"+strconv.Itoa(key.Priority), key.Phase)
