Leaving workers: tasks that would die there move at the notice

Cause: only tasks with checkpoints moved, and only once, at the notice.

Change: tasks on leaving workers are examined at the notice and every 400 ms. One that ends in time stays. One that clearly can't moves at once if it has a place elsewhere, gangs as a whole; without a place it works on until its worker is about to leave, and is stopped then, so that its checkpoint is saved and its end is known.

--- a/core/plan/host_test.go
+++ b/core/plan/host_test.go
@@ -29,6 +29,7 @@
 	partitioned        bool // cut off from the planner
 	startedPartitioned bool // it was partitioned when this incarnation started
 	down               bool
+	leavesAt           clock.Millis // when it leaves, 0 if it has not announced that
 	nextReportAt       clock.Millis
 }
 
@@ -52,7 +53,11 @@
 )
 
 func (h *host) baseReport() plan.ReportMsg {
-	return plan.ReportMsg{Node: h.node, Incarnation: h.incarnation, Service: h.service, Rack: h.rack, Capacity: h.resources, DataCentre: h.centre}
+	m := plan.ReportMsg{Node: h.node, Incarnation: h.incarnation, Service: h.service, Rack: h.rack, Capacity: h.resources, DataCentre: h.centre}
+	if h.leavesAt > 0 {
+		m.Draining, m.Remaining = true, max(1, h.leavesAt-h.f.now)
+	}
+	return m
 }
 
 // clock returns the worker's monotonic clock, which starts with its incarnation.
@@ -137,6 +142,10 @@
 		return
 	}
 	f := h.f
+	if h.leavesAt > 0 && f.now >= h.leavesAt {
+		h.leave()
+		return
+	}
 	for _, name := range h.names() {
 		r := h.runs[name]
 		if r == nil {
--- a/core/plan/plan.go
+++ b/core/plan/plan.go
@@ -66,6 +66,8 @@
 	effects       Effects
 	paused        bool // no task is placed
 	closings      closings
+
+	leaveCheckedAt clock.Millis // when tasks on leaving workers were last examined
 }
 
 // Update applies one message and returns what the caller must carry out.
@@ -150,6 +152,7 @@
 	}
 	p.evictOverdue()
 	p.checkClosings()
+	p.checkLeaving()
 	for _, j := range p.jobs {
 		p.addDueOccurrences(j)
 		p.removeExpired(j)
--- a/core/plan/worker.go
+++ b/core/plan/worker.go
@@ -30,6 +30,7 @@
 	dead                bool         // it has left or was replaced
 	draining            bool         // it gets no new tasks
 	leavesAt            clock.Millis // monotonic time until which it stays, while draining
+	stayKnown           bool         // it said how long it stays
 
 	clock        clock.Millis // its clock at its last report with lists
 	lastReportAt clock.Millis // when its last report with lists came, on our monotonic clock; 0 if there was none
@@ -179,11 +180,8 @@
 		p.markDead(w, "left")
 		return
 	}
-	if m.Draining && !w.draining {
-		p.emit(Event{Kind: "worker_draining", Worker: w.node, Detail: m.Remaining.String()})
-		w.draining = true
-		w.leavesAt = p.now.Monotonic + m.Remaining
-		p.evacuate(w)
+	if m.Draining {
+		p.setLeaving(w, m.Remaining)
 	}
 	if m.Epoch == p.Epoch {
 		p.applyLists(w, m)
