Predicted ends of resumed and of found runs

Cause: the time that a task still needs was its percent against the time since its start was confirmed. A run that resumed at 60 percent, or that a new planner found at 60 percent, was taken for one that ends within milliseconds, so that it stayed on a worker that left.

Change: such a run is measured from its progress when it was first listed, and before it has advanced by 5 percent by its expected duration.

Tests: a takeover during a notice, and a resumed task whose worker leaves; both fail before.

--- a/core/plan/leave.go
+++ b/core/plan/leave.go
@@ -170,11 +170,36 @@
 	return returned
 }
 
+// minBaseProgress is how many percent a run that was found in progress must have
+// advanced for its speed to count: progress is reported in whole percent.
+const minBaseProgress = 5
+
+// setBase sets from where a run's speed is measured, when it is first listed: from
+// its start, unless this planner found it running or it resumed from a checkpoint.
+func (p *Planner) setBase(u *unit, percent int, found bool) {
+	switch {
+	case u.baseAt > 0:
+	case found || u.resumed:
+		u.basePercent, u.baseAt = percent, p.now.Monotonic
+	default:
+		u.baseAt = u.confirmedAt
+	}
+}
+
 // remaining estimates how much longer a running task takes.
 func (p *Planner) remaining(u *unit) clock.Millis {
 	ran := p.now.Monotonic - u.confirmedAt
+	expected := p.expectedDuration(u.job, u.name.Step)
+	if u.basePercent > 0 {
+		// The rest of the work, at the run's speed so far or else at the usual one.
+		ran = p.now.Monotonic - u.baseAt
+		if advanced := u.percent - u.basePercent; advanced >= minBaseProgress && ran > 0 {
+			return ran * clock.Millis(100-u.percent) / clock.Millis(advanced)
+		}
+		return max(0, expected*clock.Millis(100-u.basePercent)/100-ran)
+	}
 	if u.percent > 0 && ran > 0 {
 		return ran * clock.Millis(100-u.percent) / clock.Millis(u.percent)
 	}
-	return max(0, p.expectedDuration(u.job, u.name.Step)-ran)
+	return max(0, expected-ran)
 }
--- a/core/plan/leave_test.go
+++ b/core/plan/leave_test.go
@@ -144,6 +144,37 @@
 	c.Check(f.events["lease_ran_out"], qt.Equals, 0)
 }
 
+// A new planner moves what its predecessor did not.
+func TestNewPlannerMovesTasksOffALeavingWorker(t *testing.T) {
+	f := newFleet(t, 2, 2, workerResources)
+	f.submit(jobOf("long", 1, 7000, 8))
+	f.run(2000)
+	h := f.hostOf("long.0.0.0")
+	h.leavesAt = f.now + 3000 // its report is lost with the planner
+	f.takeOver()
+	taken := f.now
+	f.finish(20_000)
+	qt.Check(t, f.finishedAt["long"] < taken+7000+1500, qt.IsTrue, qt.Commentf("ended %s after the takeover", f.finishedAt["long"]-taken))
+}
+
+// A task that resumed near its end is predicted by its progress since then.
+func TestResumedTaskIsNotTakenForOneThatEndsSoon(t *testing.T) {
+	f := newFleet(t, 3, 3, workerResources)
+	j := jobOf("a", 1, 10_000, 8)
+	j.Steps[0].Checkpoints = true
+	f.submit(j)
+	f.run(5000)
+	f.announceLeave(1600, f.hostOf("a.0.0.0"))
+	f.run(2000)
+	h := f.hostOf("a.0.0.0")
+	f.announceLeave(1600, h)
+	f.run(1000)
+	c := qt.New(t)
+	c.Check(h.runs["a.0.0.0"], qt.IsNil, qt.Commentf("it can't end before its worker leaves"))
+	f.finish(10_000)
+	c.Check(f.lostWork, qt.Equals, 0.0)
+}
+
 // Many workers leave at once while more work waits than fits: nothing waits for a
 // lease, and the work of tasks with checkpoints is kept.
 func TestNothingWaitsForLeasesOfWorkersThatAnnouncedToLeave(t *testing.T) {
--- a/core/plan/lists.go
+++ b/core/plan/lists.go
@@ -212,13 +212,15 @@
 	if r.Checkpoint != "" && r.Checkpoint != u.checkpoint && u.phase != stopping {
 		p.saveCheckpoint(u, r.Checkpoint)
 	}
-	if u.phase == inDoubt {
+	found := u.phase == inDoubt
+	if found {
 		p.confirm(u)
 		if u.done || u.job.state.Ended() {
 			p.stop(u)
 		}
 	}
 	p.confirm(u)
+	p.setBase(u, r.Percent, found)
 	if r.Percent != u.percent {
 		u.percent, u.progressedAt = r.Percent, p.now.Monotonic
 	}
--- a/core/plan/unit.go
+++ b/core/plan/unit.go
@@ -45,6 +45,8 @@
 	listedIn     int                       // number of the worker's last report that listed the run
 	percent      int                       // progress as last listed
 	progressedAt clock.Millis              // when percent last changed
+	basePercent  int                       // progress at baseAt, from which the run's speed is measured
+	baseAt       clock.Millis              // 0 until the run is listed
 	confirmedAt  clock.Millis              // when the run was confirmed
 	avoid        map[task.Incarnation]bool // where it failed or was stalled
 	resumed      bool                      // the run started from a checkpoint
@@ -58,6 +60,7 @@
 	u.placedOn = w
 	u.setPhase(initial)
 	u.startsSent, u.startInDoubt, u.answerSeq, u.orderSentAt, u.percent, u.confirmedAt, u.awaitedUntil = 0, false, 0, 0, 0, 0, 0
+	u.basePercent, u.baseAt = 0, 0
 	w.units[u] = true
 	w.byName[u.fullName] = u
 	w.used = w.used.Plus(u.need())
