--- a/io/side/side.go
+++ b/io/side/side.go
@@ -28,6 +28,17 @@
 	Draining    bool
 	Remaining   clock.Millis
 	Seq         int64 // grows with each heartbeat of an incarnation
+
+	heardAt clock.Millis // monotonic time of the heartbeat
+}
+
+// remainingAt returns how much of Remaining is left at a monotonic time, at least
+// 1 ms: 0 says that it is not known.
+func (e Endpoint) remainingAt(now clock.Millis) clock.Millis {
+	if e.Remaining <= 0 {
+		return 0
+	}
+	return max(1, e.Remaining-(now-e.heardAt))
 }
 
 // HoldRequest asks a worker for its lists of running and ended tasks, extends
@@ -134,6 +145,7 @@
 	if s.departed != nil && e.Incarnation.StartedAt <= s.departed.Incarnation.StartedAt {
 		return
 	}
+	e.heardAt = s.Clock.Monotonic()
 	s.endpoint = &e
 	if old == nil || old.Incarnation != e.Incarnation || old.Draining != e.Draining {
 		s.Log.Info("endpoint_changed", "endpoint", e.Incarnation.ID, "born", int64(e.Incarnation.StartedAt), "draining", e.Draining, "remaining", e.Remaining, "rack", e.Rack)
@@ -161,7 +173,7 @@
 func (s *Side) newReport(e Endpoint) *plan.ReportMsg {
 	return &plan.ReportMsg{
 		Node: s.Node, Incarnation: e.Incarnation, Service: e.Service, Kind: e.Kind, Rack: e.Rack,
-		Capacity: e.Capacity, Draining: e.Draining, Remaining: e.Remaining, DataCentre: s.DataCentre,
+		Capacity: e.Capacity, Draining: e.Draining, Remaining: e.remainingAt(s.Clock.Monotonic()), DataCentre: s.DataCentre,
 	}
 }
 
--- a/io/side/side_test.go
+++ b/io/side/side_test.go
@@ -103,3 +103,22 @@
 	qt.Check(t, w.Addr, qt.Equals, "")
 	qt.Check(t, time.Since(begin) < 2*time.Second, qt.IsTrue)
 }
+
+// A new planner, which hears of a leaving worker late, must not take the time left
+// at the last heartbeat for the time left now.
+func TestReportsCountDownTheTimeUntilTheEndpointLeaves(t *testing.T) {
+	c := qt.New(t)
+	s, _ := newSide()
+	s.Clock, s.DataCentre = clock.Manual(1000), "north"
+	e := Endpoint{Incarnation: incarnation(5), Seq: 1, Draining: true, Remaining: 1600}
+	s.Heartbeat(e)
+	c.Check(s.newReport(*s.endpoint).Remaining, qt.Equals, clock.Millis(1600))
+	c.Check(s.newReport(*s.endpoint).DataCentre, qt.Equals, "north")
+	s.Clock.Advance(1200)
+	c.Check(s.newReport(*s.endpoint).Remaining, qt.Equals, clock.Millis(400))
+	s.Clock.Advance(1200)
+	c.Check(s.newReport(*s.endpoint).Remaining, qt.Equals, clock.Millis(1))
+	e.Seq, e.Remaining = 2, 0
+	s.Heartbeat(e)
+	c.Check(s.newReport(*s.endpoint).Remaining, qt.Equals, clock.Millis(0))
+}
