--- a/core/plan/centre.go
+++ b/core/plan/centre.go
@@ -241,6 +241,7 @@
 	if closed.Len() == 0 || j.closedWaitRev == closed.Rev() || p.now.Monotonic-r.waitingSince < closedWaitReport {
 		return
 	}
+	j.closedWaitRev = closed.Rev()
 	u := r.first()
 	open, inside := 0, 0
 	for _, w := range p.workers {
@@ -255,7 +256,6 @@
 	if inside == 0 {
 		return
 	}
-	j.closedWaitRev = closed.Rev()
 	p.emit(Event{
 		Kind: "waits_while_closed", Job: j.ID, Task: u.fullName, Wait: p.now.Monotonic - r.waitingSince,
 		Detail: fmt.Sprintf("closed=%s needs=%d fits_open=%d fits_closed=%d guaranteed=%t", strings.Join(closed.Names(), ","), len(r.units), open, inside, r.guaranteed),
