A vanished worker's leases end once, whoever plans: decisions and planner

Change: core/lease decides, without I/O, when runs are over. A side hands over what it last passed on to its worker, as every call goes through it, and shows that the process is gone: it announced its end, its time is over, and its port refuses connections. Starts that may still be carried out by a new process with the same ID are kept.

The constant lease in first_test.go is renamed, as it hides the package.

--- a/core/plan/barring.go
+++ b/core/plan/barring.go
@@ -4,13 +4,9 @@
 	"sort"
 
 	"gypsumcrank/core/clock"
+	"gypsumcrank/core/lease"
 )
 
-// maxOrderDelay is how long after it was sent an order without a definite answer
-// may still be carried out: the platform specifies 12 s, and 3 s are added for
-// transit.
-const maxOrderDelay = 15 * clock.Second
-
 // unansweredStart is the start of one run, which was ordered once or more, and
 // for which a definite answer is missing: an in_doubt result is none.
 type unansweredStart struct {
@@ -36,7 +32,7 @@
 		w.unanswered[name] = o
 	}
 	o.count++
-	o.until = p.now.Monotonic + maxOrderDelay
+	o.until = p.now.Monotonic + lease.MaxOrderDelay
 }
 
 // removeUnanswered counts down by one start order that has a definite answer.
--- a/core/plan/first_test.go
+++ b/core/plan/first_test.go
@@ -37,8 +37,8 @@
 	clockOffset  clock.Millis // the worker's clock minus ours
 }
 
-// lease is how long a start or a grant is valid.
-const lease = 5500 * clock.Millisecond
+// firstFitLease is how long a start or a grant is valid.
+const firstFitLease = 5500 * clock.Millisecond
 
 func (p *firstFit) Update(now plan.Instant, msg any) plan.Effects {
 	p.now, p.out = now.Monotonic, plan.Effects{}
@@ -91,7 +91,7 @@
 			p.ended(e)
 		}
 	}
-	p.out.Grants = append(p.out.Grants, plan.Grant{Node: w.Node, Incarnation: w.Incarnation, Epoch: p.epoch, Until: p.now + w.clockOffset + lease, AckedThrough: w.ackedThrough})
+	p.out.Grants = append(p.out.Grants, plan.Grant{Node: w.Node, Incarnation: w.Incarnation, Epoch: p.epoch, Until: p.now + w.clockOffset + firstFitLease, AckedThrough: w.ackedThrough})
 }
 
 func (p *firstFit) ended(e plan.EndedTask) {
@@ -194,7 +194,7 @@
 		w.free = w.free.Minus(need)
 		j.at[n], j.runs[n] = w, run+1
 		p.out.Orders = append(p.out.Orders, plan.Order{
-			Kind: plan.OrderStart, Node: w.Node, Incarnation: w.Incarnation, Task: n.String(), Run: run + 1, Payload: j.Payload, Until: p.now + w.clockOffset + lease, Epoch: p.epoch,
+			Kind: plan.OrderStart, Node: w.Node, Incarnation: w.Incarnation, Task: n.String(), Run: run + 1, Payload: j.Payload, Until: p.now + w.clockOffset + firstFitLease, Epoch: p.epoch,
 		})
 	}
 }
--- a/core/plan/fleet_test.go
+++ b/core/plan/fleet_test.go
@@ -7,6 +7,7 @@
 	"testing"
 
 	"gypsumcrank/core/clock"
+	"gypsumcrank/core/lease"
 	"gypsumcrank/core/plan"
 	"gypsumcrank/core/route"
 	"gypsumcrank/core/task"
@@ -79,7 +80,7 @@
 	i := len(f.hosts)
 	f.hosts = append(f.hosts, &host{
 		f: f, node: fmt.Sprintf("side-%02d", i), service: "svc", incarnation: task.Incarnation{ID: fmt.Sprintf("i-%02d", i), StartedAt: 1}, rack: fmt.Sprintf("r%d", i/perRack),
-		resources: resources, runs: map[string]*run{}, lastStopped: map[string]int{},
+		resources: resources, runs: map[string]*run{}, lastStopped: map[string]int{}, watch: lease.Watch{Since: f.now - clock.Minute},
 	})
 }
 
@@ -93,7 +94,7 @@
 		f.send(f.jobMsg(id))
 	}
 	for _, h := range f.hosts {
-		if !h.partitioned && !h.down {
+		if !h.partitioned {
 			f.connect(h)
 		}
 	}
@@ -201,14 +202,24 @@
 // deliver carries an order out, unless it is lost on the way.
 func (f *fleet) deliver(planner planner, o plan.Order) {
 	h := f.host(o.Node)
-	if h == nil || h.down || h.partitioned || h.incarnation != o.Incarnation {
+	if h == nil || h.partitioned || h.incarnation != o.Incarnation {
 		return
 	}
+	sentAt := f.now
+	h.watch.PassOn(o.Until)
+	if o.Kind == plan.OrderStart {
+		h.watch.StartSent(sentAt, o.Task, o.Run)
+	}
 	outcome, answerAfter := plan.InDoubt, answerTimeout
-	if d := f.orderDelay(); d > 0 {
+	if h.down {
+		outcome, answerAfter = plan.Refused, networkDelay
+	} else if d := f.orderDelay(); d > 0 {
 		f.schedule(d, func() { f.deliverLate(o) })
-	} else {
-		outcome, answerAfter = h.execute(o), networkDelay
+	} else if got := h.execute(o); !h.mute {
+		outcome, answerAfter = got, networkDelay
+	}
+	if outcome != plan.InDoubt {
+		h.watch.StartAnswered(sentAt, o.Task, o.Run)
 	}
 	h.answers++
 	r := plan.ResultMsg{Node: h.node, Incarnation: h.incarnation, Kind: o.Kind, Task: o.Task, Run: o.Run, Outcome: outcome, AnswerSeq: h.answers}
--- a/core/plan/host_test.go
+++ b/core/plan/host_test.go
@@ -5,6 +5,7 @@
 	"sort"
 
 	"gypsumcrank/core/clock"
+	"gypsumcrank/core/lease"
 	"gypsumcrank/core/plan"
 	"gypsumcrank/core/task"
 )
@@ -25,9 +26,12 @@
 	lastEnd            int64
 	ackedThrough       int64
 	answers            int64
-	partitioned        bool // cut off from the planner
-	startedPartitioned bool // it was partitioned when this incarnation started
-	down               bool
+	partitioned        bool        // cut off from the planner
+	startedPartitioned bool        // it was partitioned when this incarnation started
+	down               bool        // its process is gone, and only its side is there
+	mute               bool        // it runs on and gets what its side passes on, but the side gets no answer
+	leaving            bool        // its endpoint has announced its end
+	watch              lease.Watch // what its side has observed
 	nextReportAt       clock.Millis
 }
 
@@ -117,7 +121,11 @@
 
 func (f *fleet) grant(g plan.Grant) {
 	h := f.host(g.Node)
-	if h == nil || h.down || h.partitioned || h.incarnation != g.Incarnation || g.Epoch < h.fence {
+	if h == nil || h.partitioned || h.incarnation != g.Incarnation || g.Epoch < h.fence {
+		return
+	}
+	h.watch.PassOn(g.Until)
+	if h.down {
 		return
 	}
 	h.leaseUntil = max(h.leaseUntil, min(g.Until, h.clock()+maxLease))
@@ -133,6 +141,7 @@
 // step advances the worker's tasks by 1 ms and reports from time to time.
 func (h *host) step() {
 	if h.down {
+		h.observe()
 		return
 	}
 	f := h.f
@@ -147,7 +156,9 @@
 		}
 		f.progress(h, name, r)
 	}
-	if !h.partitioned && f.now >= h.nextReportAt {
+	if h.mute {
+		h.observe()
+	} else if !h.partitioned && f.now >= h.nextReportAt {
 		h.nextReportAt = f.now + 800
 		h.report()
 	}
@@ -257,6 +268,7 @@
 		return
 	}
 	h.fence = f.epoch
+	h.watch.Answered(f.now, h.clock())
 	m := h.baseReport()
 	m.Epoch, m.Clock, m.AnsweredOrders = f.epoch, h.clock(), h.answers
 	for _, name := range h.names() {
@@ -279,6 +291,7 @@
 	h.incarnation.StartedAt, h.startedPartitioned = h.f.now, h.partitioned
 	h.runs, h.lastStopped, h.ends = map[string]*run{}, map[string]int{}, nil
 	h.lastEnd, h.ackedThrough, h.fence, h.leaseUntil, h.answers = 0, 0, 0, 0, 0
+	h.down, h.mute, h.leaving, h.watch = false, false, false, lease.Watch{Since: h.watch.Since}
 	if !h.partitioned {
 		h.f.connect(h)
 	}
--- a/core/plan/lease.go
+++ b/core/plan/lease.go
@@ -1,12 +1,11 @@
 package plan
 
-import "gypsumcrank/core/clock"
+import (
+	"fmt"
 
-// driftPercent is how many percent too slow a worker's clock may run.
-const driftPercent = 2
-
-// leaseSlack is added to every wait for a lease to expire.
-const leaseSlack = 300 * clock.Millisecond
+	"gypsumcrank/core/clock"
+	"gypsumcrank/core/lease"
+)
 
 // leaseEnd returns the end of a lease granted now, on the worker's clock. The
 // lease counts from the worker's last report, so it is never too long.
@@ -27,14 +26,13 @@
 		return
 	}
 	if w.lastReportAt == 0 {
-		longestLease := p.Settings.StaleGrantWindow + p.Settings.MaxLease + p.Settings.MaxLease*driftPercent/100 + leaseSlack
-		if p.now.Monotonic-p.started > longestLease {
+		if p.now.Monotonic-p.started > p.Settings.StaleGrantWindow+lease.Wait(p.Settings.MaxLease) {
 			p.expireLease(w)
 		}
 		return
 	}
-	workerClock := w.clock + (p.now.Monotonic-w.lastReportAt)*(100-driftPercent)/100
-	if w.grantedUntil > 0 && workerClock > w.grantedUntil+leaseSlack || w.grantedUntil == 0 && p.now.Monotonic-w.lastReportAt > 2*p.Settings.MaxLease {
+	silent := p.now.Monotonic - w.lastReportAt
+	if w.grantedUntil > 0 && lease.Ended(w.grantedUntil, w.clock, silent) || w.grantedUntil == 0 && silent > 2*p.Settings.MaxLease {
 		p.expireLease(w)
 	}
 }
@@ -49,14 +47,53 @@
 	p.releaseAll(w)
 }
 
+// applyHandover releases the tasks of a worker that has given no lists to this
+// planner once its side shows that no lease is left. A planner that has lists
+// relies on its own grants instead: one may be on its way to the side.
+func (p *Planner) applyHandover(w *worker, h lease.Handover) {
+	if w.lastReportAt == 0 && len(w.units) > 0 && h.Ended(p.Settings.MaxLease) {
+		p.expireLease(w)
+	}
+}
+
+// applyDeparture releases the tasks of a worker whose process is gone. A task
+// whose start may still be carried out, by a new process with the same ID, is
+// left until the lease has expired, or until a new incarnation refuses the start.
+func (p *Planner) applyDeparture(w *worker, d lease.Departure) {
+	for _, s := range d.Unanswered {
+		if o := w.unanswered[s.Task]; o == nil || o.run < s.Run {
+			w.unanswered[s.Task] = &unansweredStart{run: s.Run, count: 1, until: p.now.Monotonic + lease.MaxOrderDelay - s.Age}
+		}
+	}
+	p.dropExpired(w)
+	w.acceptedEpoch = false
+	over, left := []*unit(nil), 0
+	for _, u := range w.sorted() {
+		if o := w.unanswered[u.fullName]; u.phase != recording && o != nil && o.run == u.run {
+			left++
+		} else {
+			over = append(over, u)
+		}
+	}
+	if !w.departed || len(over) > 0 {
+		p.emit(Event{Kind: "worker_process_gone", Worker: w.node, Detail: fmt.Sprintf("%s over=%d unanswered=%d", w.incarnation.ID, len(over), left)})
+	}
+	w.departed = true
+	p.releaseUnits(over)
+}
+
 // releaseAll treats all runs on a worker as ended without a result.
 func (p *Planner) releaseAll(w *worker) {
-	units := w.sorted()
+	p.releaseUnits(w.sorted())
+	clear(w.unaccounted)
+}
+
+// releaseUnits treats runs as ended without a result.
+func (p *Planner) releaseUnits(units []*unit) {
 	for _, u := range units {
 		p.release(u)
 	}
 	for _, u := range units {
 		p.stopGangPeers(u)
 	}
-	clear(w.unaccounted)
 }
--- /dev/null
+++ b/core/plan/lease_test.go
@@ -0,0 +1,316 @@
+package plan_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"gypsumcrank/core/clock"
+	"gypsumcrank/core/lease"
+	"gypsumcrank/core/plan"
+	"gypsumcrank/core/task"
+)
+
+// Timing of a side whose worker does not answer.
+const (
+	sideTryInterval    = 150 * clock.Millisecond
+	sideReportInterval = 600 * clock.Millisecond
+)
+
+// observe is what the side does while its worker does not answer.
+func (h *host) observe() {
+	f := h.f
+	if f.now%sideTryInterval == 0 {
+		if h.down {
+			h.watch.Refused(f.now)
+		} else {
+			h.watch.Failed()
+		}
+	}
+	if f.now < h.nextReportAt {
+		return
+	}
+	h.nextReportAt = f.now + sideReportInterval
+	m := h.baseReport()
+	m.Handover, m.Departure = h.watch.Handover(f.now), h.watch.Departure(f.now)
+	planner := f.planner
+	f.schedule(networkDelay, func() {
+		if planner == f.planner && !h.partitioned && m.Incarnation == h.incarnation {
+			f.send(m)
+		}
+	})
+}
+
+// announce makes the endpoint say that it leaves.
+func (h *host) announce(remaining clock.Millis) {
+	h.leaving = true
+	h.watch.Heard(h.f.now, true, remaining)
+	m := h.baseReport()
+	m.Draining, m.Remaining = true, remaining
+	h.f.send(m)
+}
+
+// vanish ends the worker's process without a report.
+func (h *host) vanish() {
+	for _, r := range h.runs {
+		h.f.countLoss(r)
+		h.f.endGang(&run{name: r.name, run: r.run}, plan.EndBroken)
+	}
+	h.runs, h.ends, h.down = map[string]*run{}, nil, true
+}
+
+// leaseEnds returns when the worker's lease ends at the latest.
+func (h *host) leaseEnds() clock.Millis {
+	left := h.leaseUntil - h.clock()
+	return h.f.now + left + left*2/100
+}
+
+// gangOfTwo returns a job whose tasks need a worker each.
+func gangOfTwo(id string) *task.Job {
+	return &task.Job{ID: id, Stretch: 3, Target: 1000, Priority: 1, Steps: []task.Step{
+		{Count: 2, Gang: true, Estimate: 30_000, Need: task.Resources{MilliCPU: 10000, MemoryMB: 1000, Accelerators: 8}},
+	}}
+}
+
+// startGang runs a gang until it works, and returns a worker of it.
+func (f *fleet) startGang() *host {
+	f.submit(gangOfTwo("g"))
+	f.run(2000)
+	for _, h := range f.hosts {
+		if len(h.runs) > 0 {
+			return h
+		}
+	}
+	f.t.Fatal("the gang has not started")
+	return nil
+}
+
+// gangMembers returns how many tasks run.
+func (f *fleet) gangMembers() (n int) {
+	for _, h := range f.hosts {
+		n += len(h.runs)
+	}
+	return n
+}
+
+// waitForGang returns when the gang runs again on two workers.
+func (f *fleet) waitForGang(limit clock.Millis) clock.Millis {
+	f.t.Helper()
+	for end := f.now + limit; f.now < end; {
+		f.run(10)
+		if f.gangMembers() == 2 {
+			return f.now
+		}
+	}
+	f.t.Fatalf("the gang still stands after %s", limit)
+	return 0
+}
+
+// reactionTime is what the messages, a report of the side and a new placement
+// may take.
+const reactionTime = 1500 * clock.Millisecond
+
+// A gang whose member's worker vanished stands until that worker's lease has
+// ended, whoever plans. Each change of planner made it wait anew for the longest
+// lease that a deposed planner could have granted (lonja-austral-grown scale-1).
+func TestChangesOfPlannerDoNotLengthenTheWaitForALease(t *testing.T) {
+	for _, takeovers := range []int{0, 1, 2, 3} {
+		t.Run(fmt.Sprint(takeovers), func(t *testing.T) {
+			f := newFleet(t, 3, 3, workerResources)
+			h := f.startGang()
+			h.vanish()
+			ends := h.leaseEnds()
+			for range takeovers {
+				f.run(1500)
+				f.takeOver()
+			}
+			qt.Check(t, f.waitForGang(60_000) <= ends+300+reactionTime, qt.IsTrue, qt.Commentf("%s late", f.now-ends))
+		})
+	}
+}
+
+// An announced removal ends with the process: nothing has to be waited for, also
+// if the planner changes meanwhile.
+func TestGangRunsAgainSoonAfterAnAnnouncedRemoval(t *testing.T) {
+	for _, takeovers := range []int{0, 1, 2} {
+		t.Run(fmt.Sprint(takeovers), func(t *testing.T) {
+			f := newFleet(t, 3, 3, workerResources)
+			h := f.startGang()
+			h.announce(1700)
+			f.run(1701)
+			h.vanish()
+			removed := f.now
+			for range takeovers {
+				f.run(300)
+				f.takeOver()
+			}
+			qt.Check(t, f.waitForGang(60_000)-removed <= 1000+reactionTime, qt.IsTrue, qt.Commentf("stood for %s", f.now-removed))
+		})
+	}
+}
+
+// A worker that has announced its end, whose time is over and that does not
+// answer its side may run on: only its lease ends its runs. The fleet fails the
+// test if a task runs twice.
+func TestMuteWorkerKeepsItsRunsUntilItsLeaseEnds(t *testing.T) {
+	for _, takeovers := range []int{0, 1, 3} {
+		for _, grants := range []bool{false, true} {
+			t.Run(fmt.Sprint(takeovers, grants), func(t *testing.T) {
+				f := newFleet(t, 3, 3, workerResources)
+				h := f.startGang()
+				h.announce(500)
+				h.mute = true
+				for range takeovers {
+					f.run(1000)
+					f.takeOver()
+					if grants { // the last grant of the deposed planner, carried out but not answered
+						until := h.clock() + 5500
+						h.watch.PassOn(until)
+						h.leaseUntil = max(h.leaseUntil, until)
+					}
+				}
+				for len(h.runs) > 0 {
+					f.run(10)
+					if len(h.runs) > 0 {
+						qt.Assert(t, f.gangMembers() <= 2, qt.IsTrue)
+					}
+				}
+				ends := f.now
+				h.mute = false
+				qt.Check(t, f.waitForGang(60_000) <= ends+1000+reactionTime, qt.IsTrue)
+			})
+		}
+	}
+}
+
+// A side that has restarted does not know what its predecessor passed on, and
+// neither does it know of starts that may still be carried out.
+func TestRestartedSideProvesNothingAboutEarlierLeases(t *testing.T) {
+	c := qt.New(t)
+	f := newFleet(t, 3, 3, workerResources)
+	h := f.startGang()
+	h.mute = true
+	ends := h.leaseEnds()
+	h.watch = lease.Watch{Since: f.now} // and the worker runs on
+	f.takeOver()
+	for len(h.runs) > 0 {
+		f.run(10)
+	}
+	c.Check(f.now <= ends, qt.IsTrue)
+	h.mute = false
+	f.waitForGang(60_000)
+}
+
+// A deposed planner may extend leases for a while through a side that the new
+// planner can't reach. Once the side is reached, it hands over what it passed on.
+func TestGrantsOfADeposedPlannerAreWaitedFor(t *testing.T) {
+	f := newFleet(t, 3, 3, workerResources)
+	h := f.startGang()
+	h.partitioned = true
+	f.takeOver()
+	for range 7 {
+		f.run(1000)
+		until := h.clock() + 5500
+		h.watch.PassOn(until)
+		h.leaseUntil = until
+	}
+	h.mute, h.partitioned = true, false
+	f.connect(h)
+	for len(h.runs) > 0 {
+		f.run(10)
+	}
+	ends := f.now
+	h.mute = false
+	qt.Check(t, f.waitForGang(60_000) <= ends+1000+reactionTime, qt.IsTrue)
+}
+
+// A start that had no answer may be carried out by a new process with the same
+// ID, after its worker's process is gone. Its task is not started elsewhere before
+// the new process refuses that start. The fleet fails the test if it runs twice.
+func TestUnansweredStartOutlivesTheProcess(t *testing.T) {
+	for _, takeover := range []bool{false, true} {
+		t.Run(fmt.Sprint(takeover), func(t *testing.T) {
+			f := newFleet(t, 3, 3, workerResources)
+			late := true
+			f.orderDelay = func() clock.Millis {
+				if late {
+					late = false
+					return 4000
+				}
+				return 0
+			}
+			f.submit(oneTask("a", 8))
+			f.run(100)
+			var h *host
+			for _, o := range f.hosts {
+				if len(f.records["a"].Tasks) > 0 && f.records["a"].Tasks[0].Node == o.node {
+					h = o
+				}
+			}
+			h.announce(100)
+			f.run(100)
+			h.vanish()
+			if takeover {
+				f.takeOver()
+			}
+			f.run(1500)
+			h.restart()
+			f.finish(30_000)
+		})
+	}
+}
+
+// TestInvariantsHoldWhileWorkersVanish runs random jobs while workers announce
+// their end and are gone or go on, stop to answer their sides, crash and restart,
+// and planners change. Orders are carried out late with odd seeds. The fleet checks
+// each start.
+func TestInvariantsHoldWhileWorkersVanish(t *testing.T) {
+	for seed := range uint64(60) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			r := rand.New(rand.NewPCG(seed, 3))
+			f := newFleet(t, 5, 3, workerResources)
+			if seed%2 == 1 {
+				f.orderDelay = delayedOrders(rand.New(rand.NewPCG(seed, 4)))
+			}
+			for i := range 14 {
+				f.submit(randomJob(r, fmt.Sprintf("j%02d", i)))
+				f.run(600)
+				f.vanishSome(r)
+			}
+			for _, h := range f.hosts {
+				h.mute = false
+				if h.down || h.leaving {
+					h.restart()
+				}
+			}
+			f.finish(200_000)
+		})
+	}
+}
+
+// vanishSome injects one fault of a worker or its side, or changes the planner.
+func (f *fleet) vanishSome(r *rand.Rand) {
+	h := f.hosts[r.IntN(len(f.hosts))]
+	switch r.IntN(6) {
+	case 0:
+		h.announce(clock.Millis(r.IntN(600)))
+		f.run(clock.Millis(r.IntN(900)))
+		if r.IntN(3) > 0 {
+			h.vanish()
+		}
+	case 1:
+		h.mute = !h.mute
+	case 2:
+		h.vanish()
+	case 3:
+		f.takeOver()
+	case 4:
+		if h.down {
+			h.restart()
+		}
+	case 5:
+		h.watch.Since = f.now // its side has restarted
+	}
+}
--- a/core/plan/lists.go
+++ b/core/plan/lists.go
@@ -8,6 +8,10 @@
 
 // applyLists applies a worker's lists of running and ended tasks.
 func (p *Planner) applyLists(w *worker, m ReportMsg) {
+	if w.departed {
+		w.departed = false
+		p.emit(Event{Kind: "worker_not_gone", Worker: w.node, Detail: w.incarnation.ID})
+	}
 	first := !w.acceptedEpoch
 	w.acceptedEpoch = true
 	w.clock, w.lastReportAt = m.Clock, p.now.Monotonic
--- a/core/plan/msg.go
+++ b/core/plan/msg.go
@@ -2,6 +2,7 @@
 
 import (
 	"gypsumcrank/core/clock"
+	"gypsumcrank/core/lease"
 	"gypsumcrank/core/route"
 	"gypsumcrank/core/task"
 )
@@ -69,6 +70,10 @@
 	AnsweredOrders int64         `cbor:"12,keyasint,omitempty"` // orders answered before the lists were requested
 	Running        []RunningTask `cbor:"13,keyasint,omitempty"`
 	Ended          []EndedTask   `cbor:"14,keyasint,omitempty"`
+	// While its worker does not answer, a side hands over what it knows of the
+	// worker's leases, and of the end of the worker's process.
+	Handover  *lease.Handover  `cbor:"18,keyasint,omitempty"`
+	Departure *lease.Departure `cbor:"19,keyasint,omitempty"`
 }
 
 // LinkMsg reports that the connection to a side was made or lost.
--- a/core/plan/worker.go
+++ b/core/plan/worker.go
@@ -27,6 +27,7 @@
 	linked              bool         // its side is connected
 	acceptedEpoch       bool         // it has accepted this planner's epoch
 	dead                bool         // it has left or was replaced
+	departed            bool         // its side has seen that its process is gone
 	draining            bool         // it gets no new tasks
 	leavesAt            clock.Millis // monotonic time until which it stays, while draining
 
@@ -124,6 +125,12 @@
 		w.leavesAt = p.now.Monotonic + m.Remaining
 		p.evacuate(w)
 	}
+	if m.Departure != nil {
+		p.applyDeparture(w, *m.Departure)
+	}
+	if m.Handover != nil {
+		p.applyHandover(w, *m.Handover)
+	}
 	if m.Epoch == p.Epoch {
 		p.applyLists(w, m)
 	}
