--- a/io/side/find.go
+++ b/io/side/find.go
@@ -20,6 +20,11 @@
 // newer one.
 var ErrStaleEpoch = fault.New(fault.Fenced, "find the newer planner", "the worker knows a newer epoch")
 
+// ErrNoProcess is returned when no process listens at a worker's address. A reset
+// of an open connection is another matter: an unhealthy worker resets connections
+// and runs on.
+var ErrNoProcess = fault.New(fault.Unreachable, "check that the endpoint is running", "the worker's host refused the connection")
+
 // Timing of the search for the planner and of the connection to it.
 const (
 	// dialTimeout limits opening a connection, and queryTimeout the wait for the
--- a/io/side/side.go
+++ b/io/side/side.go
@@ -6,12 +6,14 @@
 
 import (
 	"context"
+	"errors"
 	"log/slog"
 	"sync"
 	"time"
 
 	"gypsumcrank/core/clock"
 	"gypsumcrank/core/kern"
+	"gypsumcrank/core/lease"
 	"gypsumcrank/core/plan"
 	"gypsumcrank/core/task"
 	"gypsumcrank/io/link"
@@ -52,8 +54,8 @@
 type Worker interface {
 	// Order carries out a start or a stop. The reason explains a refusal.
 	Order(ctx context.Context, o plan.Order) (outcome plan.Outcome, reason string)
-	// Hold returns the task lists, or ErrStaleEpoch if the worker knows a newer
-	// epoch.
+	// Hold returns the task lists, ErrStaleEpoch if the worker knows a newer
+	// epoch, or ErrNoProcess if its host refused the connection.
 	Hold(ctx context.Context, h HoldRequest) (HoldReply, error)
 }
 
@@ -70,6 +72,9 @@
 	// orderTimeout is how long a worker may take to answer an order; the planner
 	// resends unanswered orders.
 	orderTimeout = 500 * clock.Millisecond
+	// handoverInterval is how often a side whose worker does not answer tells the
+	// planner what it knows of the worker's leases.
+	handoverInterval = 600 * clock.Millisecond
 	// retryDelay is the wait after a failed hold call.
 	retryDelay = 150 * time.Millisecond
 )
@@ -86,6 +91,10 @@
 
 	mu             sync.Mutex
 	endpoint       *Endpoint
+	startedAt      clock.Millis    // when this process started, on the monotonic clock
+	watch          lease.Watch     // of the endpoint's incarnation
+	handoverAt     clock.Millis    // when a handover was last sent
+	gone           bool            // the process of the endpoint's incarnation is gone
 	departed       *plan.ReportMsg // of the last incarnation that deregistered
 	conn           *link.Conn      // to the planner, or nil
 	epoch          int64           // of the planner last connected to
@@ -101,6 +110,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	s.cancel = cancel
 	s.changed = make(chan struct{})
+	s.startedAt = s.Clock.Monotonic()
 	s.wg.Add(2)
 	go s.runLink(ctx)
 	go s.runHold(ctx)
@@ -134,6 +144,11 @@
 		return
 	}
 	s.endpoint = &e
+	if old == nil || old.Incarnation != e.Incarnation {
+		s.watch = lease.Watch{Since: s.startedAt}
+	}
+	s.watch.Heard(s.Clock.Monotonic(), e.Draining, e.Remaining)
+	s.gone = false
 	if old == nil || old.Incarnation != e.Incarnation || old.Draining != e.Draining {
 		s.Log.Info("endpoint_changed", "endpoint", e.Incarnation.ID, "born", int64(e.Incarnation.StartedAt), "draining", e.Draining, "remaining", e.Remaining, "rack", e.Rack)
 		s.send(link.Frame{Report: s.newReport(e)})
@@ -189,6 +204,7 @@
 			p := holdParams{hold: HoldRequest{Incarnation: s.endpoint.Incarnation, Epoch: s.epoch, Wait: holdWait}, answeredOrders: s.answeredOrders, report: s.newReport(*s.endpoint)}
 			if s.grant.Incarnation == s.endpoint.Incarnation && s.grant.Epoch == s.epoch {
 				p.hold.Until, p.hold.AckedThrough = s.grant.Until, s.grant.AckedThrough
+				s.watch.PassOn(p.hold.Until)
 			} else {
 				p.hold.Wait = 0
 			}
@@ -226,6 +242,7 @@
 			}
 			lost = true
 			s.closeIfStale(p, err)
+			s.sendHandover(p, err)
 			sleep(ctx, retryDelay)
 			continue
 		}
@@ -252,6 +269,10 @@
 	if s.epoch == r.Epoch {
 		s.send(link.Frame{Report: r})
 	}
+	if s.endpoint != nil && s.endpoint.Incarnation == r.Incarnation {
+		s.watch.Answered(s.Clock.Monotonic(), lists.Clock)
+		s.gone = false
+	}
 	changed := s.changed
 	s.mu.Unlock()
 	var last int64
@@ -277,6 +298,33 @@
 	}
 }
 
+// sendHandover records a failed hold call and tells the planner from time to time
+// what is known of the worker's leases, and as soon as its process is gone.
+func (s *Side) sendHandover(p holdParams, err error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.endpoint == nil || s.endpoint.Incarnation != p.hold.Incarnation {
+		return
+	}
+	now := s.Clock.Monotonic()
+	if errors.Is(err, ErrNoProcess) {
+		s.watch.Refused(now)
+	} else {
+		s.watch.Failed()
+	}
+	r := s.newReport(*s.endpoint)
+	r.Handover, r.Departure = s.watch.Handover(now), s.watch.Departure(now)
+	news := r.Departure != nil && !s.gone
+	if news {
+		s.gone = true
+		s.Log.Warn("worker_process_gone", "endpoint", r.Incarnation.ID, "unanswered_starts", len(r.Departure.Unanswered))
+	}
+	if s.epoch == p.hold.Epoch && (news || now-s.handoverAt >= handoverInterval) {
+		s.handoverAt = now
+		s.send(link.Frame{Report: r})
+	}
+}
+
 func sleep(ctx context.Context, d time.Duration) {
 	select {
 	case <-ctx.Done():
@@ -298,17 +346,32 @@
 
 func (s *Side) execute(ctx context.Context, o plan.Order) (plan.Outcome, string) {
 	s.mu.Lock()
-	e, epoch := s.endpoint, s.epoch
-	s.mu.Unlock()
+	e, epoch, gone, sentAt := s.endpoint, s.epoch, s.gone, s.Clock.Monotonic()
+	refusal := ""
 	switch {
 	case o.Epoch < epoch:
-		return plan.Refused, "a newer planner is known"
+		refusal = "a newer planner is known"
 	case e == nil || e.Incarnation != o.Incarnation:
-		return plan.Refused, "the order is for another incarnation of the endpoint"
+		refusal = "the order is for another incarnation of the endpoint"
+	case gone:
+		refusal = "the worker's process is gone"
 	case o.Kind == plan.OrderStart && e.Draining:
-		return plan.Refused, "the endpoint is draining"
+		refusal = "the endpoint is draining"
+	case o.Kind == plan.OrderStart:
+		s.watch.PassOn(o.Until)
+		s.watch.StartSent(sentAt, o.Task, o.Run)
+	}
+	s.mu.Unlock()
+	if refusal != "" {
+		return plan.Refused, refusal
 	}
 	ctx, cancel := context.WithTimeout(ctx, orderTimeout.Duration())
 	defer cancel()
-	return s.Worker.Order(ctx, o)
+	outcome, reason := s.Worker.Order(ctx, o)
+	if o.Kind == plan.OrderStart && outcome != plan.InDoubt {
+		s.mu.Lock()
+		s.watch.StartAnswered(sentAt, o.Task, o.Run)
+		s.mu.Unlock()
+	}
+	return outcome, reason
 }
