A planner that was paused orders no start after its lease

Cause: the lease was looked at on ticks only, so the first message after a pause, a report or the result of a write, was handled as if the lease still held: a recorded start was ordered and jobs were placed. And the monotonic clock does not count a suspension of the host, so after one the lease seemed to hold for longer.

Change: every message is handled after a look at the lease, on the clock that counts suspensions; starts are dropped while the lease is in doubt, also ones sent again. So no start of a deposed planner is under way once another is elected, which the handover of sides relies on.

--- a/core/clock/clock.go
+++ b/core/clock/clock.go
@@ -70,6 +70,18 @@
 	return FromDuration(time.Since(processStart)) + 1
 }
 
+// Boottime returns a reading that never jumps and that, unlike Monotonic, counts
+// time in which the host was suspended. Only differences between its readings are
+// meaningful. It is the clock for permissions that others see expire meanwhile.
+func (c Clock) Boottime() Millis {
+	if c.manual == nil {
+		if t := boottime(); t > 0 {
+			return t
+		}
+	}
+	return c.Monotonic()
+}
+
 // Advance moves a manual clock forward. It has no effect on the system clock.
 func (c Clock) Advance(by Millis) {
 	if c.manual != nil {
--- a/io/steer/steer.go
+++ b/io/steer/steer.go
@@ -157,7 +157,7 @@
 func (s *Coordinator) campaign(ctx context.Context) {
 	campaignCtx, cancel := context.WithTimeout(ctx, campaignTimeout.Duration())
 	defer cancel()
-	sent := s.Clock.Monotonic()
+	sent := s.Clock.Boottime()
 	ttl := max(leaseTTL, s.LeaseMin)
 	lease, err := s.Store.Grant(campaignCtx, ttl)
 	if err != nil {
--- a/io/steer/term.go
+++ b/io/steer/term.go
@@ -23,7 +23,7 @@
 	epoch           int64 // revision of the planner key
 	lease           int64 // ID of the lease that the planner key depends on
 	leaseTTL        clock.Millis
-	leaseValidUntil clock.Millis // until then the lease is certainly valid, on the monotonic clock
+	leaseValidUntil clock.Millis // until then the lease is certainly valid, on the clock that counts suspensions
 	loop            *kern.Loop
 	planner         *plan.Planner
 	conns           map[string]*link.Conn // connections to sides, by host
@@ -123,7 +123,7 @@
 			return
 		case <-time.After((t.leaseTTL / renewsPerLease).Duration()):
 		}
-		sent := s.Clock.Monotonic()
+		sent := s.Clock.Boottime()
 		call, cancel := context.WithTimeout(ctx, renewTimeout.Duration())
 		err := s.Store.KeepAlive(call, t.lease)
 		cancel()
@@ -140,9 +140,12 @@
 // Update applies one message in the loop's goroutine.
 func (t *term) Update(msg kern.Msg) []kern.Cmd {
 	now := plan.Instant{Monotonic: t.coord.Clock.Monotonic(), Wall: t.coord.Clock.Now()}
-	switch m := msg.(type) {
-	case renewedMsg:
+	if m, ok := msg.(renewedMsg); ok {
 		t.leaseValidUntil = max(t.leaseValidUntil, m.validUntil)
+	}
+	// Before anything is decided: this may be the first message after a pause.
+	t.checkLease(t.coord.Clock.Boottime())
+	switch m := msg.(type) {
 	case lostMsg:
 		t.end(m.reason)
 		return nil
@@ -159,10 +162,10 @@
 		delete(t.conns, m.node)
 		msg = plan.LinkMsg{Node: m.node}
 	case plan.TickMsg:
-		t.checkLease(now.Monotonic)
+		t.checkKey()
 		t.updateGauges(now.Monotonic)
 	}
-	return t.apply(now, t.planner.Update(now, msg))
+	return t.apply(t.planner.Update(now, msg))
 }
 
 // gaugeInterval is how often the task gauges are updated.
@@ -181,8 +184,7 @@
 }
 
 // checkLease pauses starts while the lease may have expired, and tells the sides
-// to look for another planner. It ends the term once the planner key is no
-// longer this term's.
+// to look for another planner.
 func (t *term) checkLease(now clock.Millis) {
 	inDoubt := now >= t.leaseValidUntil
 	if inDoubt != t.leaseInDoubt {
@@ -193,6 +195,10 @@
 			c.Send(link.Frame{LeaseInDoubt: inDoubt})
 		}
 	}
+}
+
+// checkKey ends the term once the planner key is no longer this term's.
+func (t *term) checkKey() {
 	if kv, ok := t.coord.Mirror.Get(store.PlannerKey); !ok || kv.Rev != t.epoch {
 		t.end("the planner key was deleted or belongs to another term")
 	}
@@ -200,13 +206,18 @@
 
 // apply carries out the planner's effects. Orders and grants for sides that are
 // not connected are dropped; the planner sends them again.
-func (t *term) apply(now plan.Instant, e plan.Effects) []kern.Cmd {
+func (t *term) apply(e plan.Effects) []kern.Cmd {
 	for _, ev := range e.Events {
 		t.logEvent(ev)
 	}
 	// A newer planner relies on this term sending no grants after that time.
-	stale := now.Monotonic > t.leaseValidUntil+t.planner.Settings.StaleGrantWindow
+	stale := t.coord.Clock.Boottime() > t.leaseValidUntil+t.planner.Settings.StaleGrantWindow
 	for i := range e.Orders {
+		if t.leaseInDoubt && e.Orders[i].Kind == plan.OrderStart {
+			// A newer planner may rely on no start being ordered any more; the planner
+			// sends it again.
+			continue
+		}
 		if c := t.conns[e.Orders[i].Node]; c != nil {
 			c.Send(link.Frame{Order: &e.Orders[i]})
 		}
--- /dev/null
+++ b/io/steer/term_test.go
@@ -0,0 +1,75 @@
+package steer
+
+import (
+	"log/slog"
+	"net"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"gypsumcrank/core/clock"
+	"gypsumcrank/core/plan"
+	"gypsumcrank/core/route"
+	"gypsumcrank/core/task"
+	"gypsumcrank/io/link"
+	"gypsumcrank/io/mirror"
+)
+
+// termOnSide returns a term with one worker that waits for work, the side's end of
+// its connection, and the worker's report.
+func termOnSide(t *testing.T, clk clock.Clock) (*term, *link.Conn, plan.ReportMsg) {
+	here, there := net.Pipe()
+	conn, side := link.New(here), link.New(there)
+	t.Cleanup(conn.Close)
+	t.Cleanup(side.Close)
+	coord := &Coordinator{Clock: clk, Mirror: &mirror.Mirror{}, Log: slog.New(slog.DiscardHandler)}
+	tm := &term{
+		coord: coord, epoch: 7, leaseTTL: 1500, leaseValidUntil: clk.Boottime() + 1500, conns: map[string]*link.Conn{},
+		planner: &plan.Planner{Epoch: 7, Settings: plan.DefaultSettings()}, ended: make(chan string, 1),
+	}
+	report := plan.ReportMsg{Node: "side-1", Incarnation: task.Incarnation{ID: "i-1", StartedAt: 1}, Service: "svc", Capacity: task.Resources{MilliCPU: 8000, MemoryMB: 8000}}
+	tm.Update(plan.ConfigMsg{Config: (&route.Config{Version: 1}).Prepare()})
+	tm.Update(connMsg{"side-1", conn})
+	tm.Update(report)
+	report.Epoch, report.Clock = 7, 500
+	tm.Update(report)
+	return tm, side, report
+}
+
+func oneTaskJob(id string) plan.JobMsg {
+	return plan.JobMsg{Job: &task.Job{ID: id, Service: "svc", Attempts: 2, Stretch: 3, Target: 1000, Steps: []task.Step{
+		{Count: 1, Estimate: 1000, Need: task.Resources{MilliCPU: 1000, MemoryMB: 1000}},
+	}}}
+}
+
+// received returns how many orders the side gets, until nothing more comes.
+func received(side *link.Conn) (orders int) {
+	for {
+		f, err := side.Receive(100)
+		if err != nil {
+			return orders
+		}
+		if f.Order != nil {
+			orders++
+		}
+	}
+}
+
+// A planner that was paused beyond its lease must not order a start that was
+// recorded before, nor place anything, when the first message after the pause
+// comes before the first tick: another planner may have been elected.
+func TestPausedPlannerOrdersNothingUntilItsLeaseIsRenewed(t *testing.T) {
+	c, clk := qt.New(t), clock.Manual(1_000_000)
+	tm, side, report := termOnSide(t, clk)
+	c.Assert(len(tm.Update(oneTaskJob("a"))), qt.Equals, 1) // the write of the start's record
+	clk.Advance(2000)
+	tm.Update(plan.WrittenMsg{Seq: 1, Revs: map[string]int64{"a": 9}})
+	c.Check(len(tm.Update(oneTaskJob("b"))), qt.Equals, 0)
+	c.Check(received(side), qt.Equals, 0)
+	c.Check(len(tm.Update(renewedMsg{clk.Boottime() + 1500})), qt.Equals, 1) // job b is placed
+	report.Clock += 2000
+	tm.Update(report)
+	clk.Advance(1000)
+	tm.Update(plan.TickMsg{})
+	c.Check(received(side), qt.Equals, 1) // job a's start is ordered
+}
