core/plan: a job is forgotten once its deletion is stored

The job was unknown before its deletion was even written, and a late message about it would have queued it anew. Change: a write knows the jobs that it deletes. TestJobIsKnownUntilItsDeletionIsStored failed first: the job was taken twice.

--- a/core/plan/write.go
+++ b/core/plan/write.go
@@ -31,6 +31,7 @@
 type inFlightWrite struct {
 	seq       int
 	jobs      []*job
+	removed   []*job // those of jobs whose deletion this write holds
 	followUps []followUp
 }
 
@@ -57,7 +58,9 @@
 	write := &Write{Seq: p.seq}
 	for _, j := range next.jobs {
 		r := Record{ID: j.ID, Rev: j.rev}
-		if !j.removing {
+		if j.removing {
+			next.removed = append(next.removed, j)
+		} else {
 			r.Progress = j.progress()
 		}
 		write.Records = append(write.Records, r)
@@ -79,9 +82,9 @@
 	p.inFlight = nil
 	for _, j := range stored.jobs {
 		j.rev = m.Revs[j.ID]
-		if j.removing {
-			delete(p.jobs, j.ID)
-		}
+	}
+	for _, j := range stored.removed {
+		delete(p.jobs, j.ID)
 	}
 	for _, action := range stored.followUps {
 		if action.startUnit != nil {
