core/plan: a gang member in doubt is stopped with its peers

Change: the stop is kept until the worker lists the run. TestGangMemberInDoubtIsStoppedWithItsPeers failed first.

--- a/core/plan/lists.go
+++ b/core/plan/lists.go
@@ -218,7 +218,7 @@
 	}
 	if u.phase == inDoubt {
 		p.confirm(u)
-		if u.done || u.job.state.Ended() {
+		if u.stopWanted || u.done || u.job.state.Ended() {
 			p.stop(u)
 		}
 	}
--- a/core/plan/lists_test.go
+++ b/core/plan/lists_test.go
@@ -41,3 +41,28 @@
 	update(later, plan.JobMsg{Job: oneTask("a", 1)}) // an ID that is used again
 	c.Check(taken, qt.Equals, 2)
 }
+
+// After a takeover one member of a gang is known to be over before the worker of
+// the other has reported. Once it reports, its run is stopped: alone it does
+// nothing, and keeps the gang from running again.
+func TestGangMemberInDoubtIsStoppedWithItsPeers(t *testing.T) {
+	f := newFleet(t, 3, 3, workerResources)
+	crashed := f.startGang()
+	var other *host
+	for _, h := range f.hosts {
+		if h != crashed && len(h.runs) > 0 {
+			other = h
+		}
+	}
+	other.partitioned = true
+	crashed.restart()
+	f.takeOver()
+	f.run(1000)
+	other.partitioned = false
+	f.connect(other)
+	f.run(1000)
+	for _, r := range other.runs {
+		qt.Check(t, r.run, qt.Equals, 2)
+	}
+	qt.Check(t, f.gangMembers(), qt.Equals, 2)
+}
--- a/core/plan/order.go
+++ b/core/plan/order.go
@@ -41,7 +41,7 @@
 }
 
 // stop orders the stop of a run that was ordered, and drops one that was not
-// ordered yet. A run in phase inDoubt is left until its worker reports or the
+// ordered yet. A run in phase inDoubt is left until its worker lists it or the
 // worker's leases have expired.
 func (p *Planner) stop(u *unit) {
 	switch u.phase {
@@ -51,6 +51,8 @@
 		u.setPhase(stopping)
 		u.answerSeq = 0
 		p.sendStop(u)
+	case inDoubt:
+		u.stopWanted = true
 	}
 }
 
--- a/core/plan/unit.go
+++ b/core/plan/unit.go
@@ -41,6 +41,7 @@
 	orderSentAt  clock.Millis              // when the last order was sent
 	startsSent   int                       // start orders sent for this run
 	startInDoubt bool                      // a start order of this run may still be on its way
+	stopWanted   bool                      // in phase inDoubt: the run is to be stopped if the worker lists it
 	answerSeq    int64                     // number of the answer that accepted the last order, 0 if none did yet
 	listedIn     int                       // number of the worker's last report that listed the run
 	percent      int                       // progress as last listed
@@ -58,6 +59,7 @@
 	u.placedOn = w
 	u.setPhase(initial)
 	u.startsSent, u.startInDoubt, u.answerSeq, u.orderSentAt, u.percent, u.confirmedAt, u.awaitedUntil = 0, false, 0, 0, 0, 0, 0
+	u.stopWanted = false
 	w.units[u] = true
 	w.byName[u.fullName] = u
 	w.used = w.used.Plus(u.need())
