core/plan: a run that vanished is noticed after a reconnect

Change: the second list on the new connection was requested after the run began, so it is proof. TestVanishedRunIsNoticedAfterAReconnect failed first; a list that was requested before the reconnect stays no proof (TestListRequestedBeforeAReconnectIsNoProof).

--- a/core/plan/lists.go
+++ b/core/plan/lists.go
@@ -29,7 +29,7 @@
 			p.stopGangPeers(u)
 		case u.phase == stopping && u.answerSeq > 0 && m.AnsweredOrders >= u.answerSeq:
 			p.release(u)
-		case u.phase == running && u.answerSeq > 0 && m.AnsweredOrders >= u.answerSeq:
+		case u.phase == running && (u.answerSeq > 0 && m.AnsweredOrders >= u.answerSeq || u.mustListIn > 0 && w.reports >= u.mustListIn):
 			p.emit(Event{Kind: "run_vanished", Job: u.job.ID, Task: u.fullName, Worker: w.node, Run: u.run})
 			p.stop(u)
 			p.stopGangPeers(u)
--- a/core/plan/lists_test.go
+++ b/core/plan/lists_test.go
@@ -66,3 +66,36 @@
 	}
 	qt.Check(t, f.gangMembers(), qt.Equals, 2)
 }
+
+// A run that a worker no longer lists, and whose end it does not list either, is
+// started again, also if the side's connection was lost since the run began.
+func TestVanishedRunIsNoticedAfterAReconnect(t *testing.T) {
+	f := newFleet(t, 1, 1, workerResources)
+	f.submit(oneTask("a", 8))
+	f.run(500)
+	h := f.hosts[0]
+	f.send(plan.LinkMsg{Node: h.node})
+	f.connect(h)
+	f.run(1000)
+	qt.Assert(t, h.runs["a.0.0.0"], qt.IsNotNil)
+	delete(h.runs, "a.0.0.0")
+	f.run(4000)
+	f.finish(4000)
+}
+
+// A list that was requested before the connection was lost may arrive after it
+// was made again, and lacks a run that was started since it was requested.
+func TestListRequestedBeforeAReconnectIsNoProof(t *testing.T) {
+	f := newFleet(t, 1, 1, workerResources)
+	h := f.hosts[0]
+	f.run(100)
+	old := h.baseReport()
+	old.Epoch, old.Clock, old.AnsweredOrders = f.epoch, h.clock(), h.answers
+	f.submit(oneTask("a", 8))
+	f.run(200)
+	f.send(plan.LinkMsg{Node: h.node})
+	f.connect(h)
+	f.send(old)
+	f.finish(4000)
+	qt.Check(t, f.records["a"].Tasks[0].Run, qt.Equals, 1)
+}
--- a/core/plan/unit.go
+++ b/core/plan/unit.go
@@ -44,6 +44,7 @@
 	stopWanted   bool                      // in phase inDoubt: the run is to be stopped if the worker lists it
 	answerSeq    int64                     // number of the answer that accepted the last order, 0 if none did yet
 	listedIn     int                       // number of the worker's last report that listed the run
+	mustListIn   int                       // number of the first report that lists the run if it still exists; 0 if answerSeq tells
 	percent      int                       // progress as last listed
 	progressedAt clock.Millis              // when percent last changed
 	confirmedAt  clock.Millis              // when the run was confirmed
@@ -59,7 +60,7 @@
 	u.placedOn = w
 	u.setPhase(initial)
 	u.startsSent, u.startInDoubt, u.answerSeq, u.orderSentAt, u.percent, u.confirmedAt, u.awaitedUntil = 0, false, 0, 0, 0, 0, 0
-	u.stopWanted = false
+	u.stopWanted, u.mustListIn = false, 0
 	w.units[u] = true
 	w.byName[u.fullName] = u
 	w.used = w.used.Plus(u.need())
--- a/core/plan/worker.go
+++ b/core/plan/worker.go
@@ -82,7 +82,9 @@
 // setLink records that the connection to a side was made or lost. On a new
 // connection, orders that have not taken effect are sent again, and the numbers
 // of earlier answers are forgotten: a side process that has restarted counts its
-// answers from 1 again.
+// answers from 1 again. The first list on the connection may have been requested
+// before a run was started; the second one was not, as a side requests one at a
+// time.
 func (p *Planner) setLink(m LinkMsg) {
 	w := p.byNode[m.Node]
 	if w == nil {
@@ -100,7 +102,7 @@
 			u.answerSeq = 0
 			p.sendStop(u)
 		case running:
-			u.answerSeq = 0
+			u.answerSeq, u.mustListIn = 0, w.reports+2
 		}
 	}
 }
