--- a/core/plan/lists.go
+++ b/core/plan/lists.go
@@ -8,6 +8,10 @@
 
 // applyLists applies a worker's lists of running and ended tasks.
 func (p *Planner) applyLists(w *worker, m ReportMsg) {
+	if w.departed {
+		w.departed = false
+		p.emit(Event{Kind: "worker_not_gone", Worker: w.node, Detail: w.incarnation.ID})
+	}
 	first := !w.acceptedEpoch
 	w.acceptedEpoch = true
 	w.clock, w.lastReportAt = m.Clock, p.now.Monotonic
@@ -25,7 +29,7 @@
 			p.stopGangPeers(u)
 		case u.phase == stopping && u.answerSeq > 0 && m.AnsweredOrders >= u.answerSeq:
 			p.release(u)
-		case u.phase == running && u.answerSeq > 0 && m.AnsweredOrders >= u.answerSeq:
+		case u.phase == running && (u.answerSeq > 0 && m.AnsweredOrders >= u.answerSeq || u.mustListIn > 0 && w.reports >= u.mustListIn):
 			p.emit(Event{Kind: "run_vanished", Job: u.job.ID, Task: u.fullName, Worker: w.node, Run: u.run})
 			p.stop(u)
 			p.stopGangPeers(u)
@@ -215,7 +219,7 @@
 	found := u.phase == inDoubt
 	if found {
 		p.confirm(u)
-		if u.done || u.job.state.Ended() {
+		if u.stopWanted || u.done || u.job.state.Ended() {
 			p.stop(u)
 		}
 	}
--- /dev/null
+++ b/core/plan/lists_test.go
@@ -0,0 +1,101 @@
+package plan_test
+
+import (
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"gypsumcrank/core/clock"
+	"gypsumcrank/core/plan"
+	"gypsumcrank/core/route"
+)
+
+// A job that is due for removal while an earlier write of its record is in flight
+// is forgotten only once its deletion is stored. It was dropped when the earlier
+// write returned, and would have been taken again, without its end, from a
+// message that came late.
+func TestJobIsKnownUntilItsDeletionIsStored(t *testing.T) {
+	c := qt.New(t)
+	p := &plan.Planner{Epoch: 1, Settings: plan.DefaultSettings()}
+	taken := 0
+	update := func(wall clock.Millis, msg any) *plan.Write {
+		e := p.Update(plan.Instant{Monotonic: 1000, Wall: wall}, msg)
+		for _, ev := range e.Events {
+			if ev.Kind == "job_taken" {
+				taken++
+			}
+		}
+		return e.Write
+	}
+	update(0, plan.ConfigMsg{Config: (&route.Config{Version: 1}).Prepare()})
+	update(0, plan.JobMsg{Job: oneTask("a", 1)})
+	end := update(0, plan.CancelMsg{ID: "a"})
+	later := plan.DefaultSettings().Retention + clock.Second
+	c.Assert(update(later, plan.TickMsg{}), qt.IsNil) // due for removal, the write is in flight
+	removal := update(later, plan.WrittenMsg{Seq: end.Seq, Revs: map[string]int64{"a": 5}})
+	c.Assert(removal, qt.IsNotNil)
+	c.Check(removal.Records[0].Progress, qt.IsNil)
+	update(later, plan.JobMsg{Job: oneTask("a", 1)})
+	c.Check(taken, qt.Equals, 1)
+	update(later, plan.WrittenMsg{Seq: removal.Seq, Revs: map[string]int64{"a": 6}})
+	update(later, plan.JobMsg{Job: oneTask("a", 1)}) // an ID that is used again
+	c.Check(taken, qt.Equals, 2)
+}
+
+// After a takeover one member of a gang is known to be over before the worker of
+// the other has reported. Once it reports, its run is stopped: alone it does
+// nothing, and keeps the gang from running again.
+func TestGangMemberInDoubtIsStoppedWithItsPeers(t *testing.T) {
+	f := newFleet(t, 3, 3, workerResources)
+	crashed := f.startGang()
+	var other *host
+	for _, h := range f.hosts {
+		if h != crashed && len(h.runs) > 0 {
+			other = h
+		}
+	}
+	other.partitioned = true
+	crashed.restart()
+	f.takeOver()
+	f.run(1000)
+	other.partitioned = false
+	f.connect(other)
+	f.run(1000)
+	for _, r := range other.runs {
+		qt.Check(t, r.run, qt.Equals, 2)
+	}
+	qt.Check(t, f.gangMembers(), qt.Equals, 2)
+}
+
+// A run that a worker no longer lists, and whose end it does not list either, is
+// started again, also if the side's connection was lost since the run began.
+func TestVanishedRunIsNoticedAfterAReconnect(t *testing.T) {
+	f := newFleet(t, 1, 1, workerResources)
+	f.submit(oneTask("a", 8))
+	f.run(500)
+	h := f.hosts[0]
+	f.send(plan.LinkMsg{Node: h.node})
+	f.connect(h)
+	f.run(1000)
+	qt.Assert(t, h.runs["a.0.0.0"], qt.IsNotNil)
+	delete(h.runs, "a.0.0.0")
+	f.run(4000)
+	f.finish(4000)
+}
+
+// A list that was requested before the connection was lost may arrive after it
+// was made again, and lacks a run that was started since it was requested.
+func TestListRequestedBeforeAReconnectIsNoProof(t *testing.T) {
+	f := newFleet(t, 1, 1, workerResources)
+	h := f.hosts[0]
+	f.run(100)
+	old := h.baseReport()
+	old.Epoch, old.Clock, old.AnsweredOrders = f.epoch, h.clock(), h.answers
+	f.submit(oneTask("a", 8))
+	f.run(200)
+	f.send(plan.LinkMsg{Node: h.node})
+	f.connect(h)
+	f.send(old)
+	f.finish(4000)
+	qt.Check(t, f.records["a"].Tasks[0].Run, qt.Equals, 1)
+}
--- a/core/plan/msg.go
+++ b/core/plan/msg.go
@@ -3,6 +3,7 @@
 import (
 	"gypsumcrank/core/centre"
 	"gypsumcrank/core/clock"
+	"gypsumcrank/core/lease"
 	"gypsumcrank/core/route"
 	"gypsumcrank/core/task"
 )
@@ -77,6 +78,10 @@
 	Running        []RunningTask `cbor:"13,keyasint,omitempty"`
 	Ended          []EndedTask   `cbor:"14,keyasint,omitempty"`
 	DataCentre     string        `cbor:"15,keyasint,omitempty"` // empty if the side does not know it
+	// While its worker does not answer, a side hands over what it knows of the
+	// worker's leases, and of the end of the worker's process.
+	Handover  *lease.Handover  `cbor:"18,keyasint,omitempty"`
+	Departure *lease.Departure `cbor:"19,keyasint,omitempty"`
 }
 
 // LinkMsg reports that the connection to a side was made or lost.
--- a/core/plan/worker.go
+++ b/core/plan/worker.go
@@ -28,6 +28,7 @@
 	linked              bool         // its side is connected
 	acceptedEpoch       bool         // it has accepted this planner's epoch
 	dead                bool         // it has left or was replaced
+	departed            bool         // its side has seen that its process is gone
 	draining            bool         // it gets no new tasks
 	leavesAt            clock.Millis // monotonic time until which it stays, while draining
 	stayKnown           bool         // it said how long it stays
@@ -65,65 +66,6 @@
 	return r
 }
 
-// driftPercent is how many percent too slow a worker's clock may run.
-const driftPercent = 2
-
-// leaseSlack is added to every wait for a lease to expire.
-const leaseSlack = 300 * clock.Millisecond
-
-// leaseEnd returns the end of a lease granted now, on the worker's clock. The
-// lease counts from the worker's last report, so it is never too long.
-func (p *Planner) leaseEnd(w *worker) clock.Millis {
-	if w.lastReportAt == 0 {
-		return 0
-	}
-	until := w.clock + (p.now.Monotonic - w.lastReportAt) + p.Settings.MaxLease
-	w.grantedUntil = max(w.grantedUntil, until)
-	return w.grantedUntil
-}
-
-// checkLease releases the tasks of a silent worker once its leases have expired.
-// If it has not sent lists to this planner, these are the leases that a deposed
-// planner may have granted.
-func (p *Planner) checkLease(w *worker) {
-	if w.dead || len(w.units) == 0 && w.lastReportAt == 0 {
-		return
-	}
-	if w.lastReportAt == 0 {
-		longestLease := p.Settings.StaleGrantWindow + p.Settings.MaxLease + p.Settings.MaxLease*driftPercent/100 + leaseSlack
-		if p.now.Monotonic-p.started > longestLease {
-			p.expireLease(w)
-		}
-		return
-	}
-	workerClock := w.clock + (p.now.Monotonic-w.lastReportAt)*(100-driftPercent)/100
-	if w.grantedUntil > 0 && workerClock > w.grantedUntil+leaseSlack || w.grantedUntil == 0 && p.now.Monotonic-w.lastReportAt > 2*p.Settings.MaxLease {
-		p.expireLease(w)
-	}
-}
-
-// expireLease releases the tasks of a worker whose leases have expired. The worker
-// gets no task before it sends its lists again.
-func (p *Planner) expireLease(w *worker) {
-	if len(w.units) > 0 {
-		p.emit(Event{Kind: "lease_ran_out", Worker: w.node, Detail: w.incarnation.ID})
-	}
-	w.acceptedEpoch = false
-	p.releaseAll(w)
-}
-
-// releaseAll treats all runs on a worker as ended without a result.
-func (p *Planner) releaseAll(w *worker) {
-	units := w.sorted()
-	for _, u := range units {
-		p.release(u)
-	}
-	for _, u := range units {
-		p.stopGangPeers(u)
-	}
-	clear(w.unaccounted)
-}
-
 // sortUnits sorts tasks by name.
 func sortUnits(units []*unit) {
 	sort.Slice(units, func(i, j int) bool { return units[i].name.Less(units[j].name) })
@@ -142,7 +84,9 @@
 // setLink records that the connection to a side was made or lost. On a new
 // connection, orders that have not taken effect are sent again, and the numbers
 // of earlier answers are forgotten: a side process that has restarted counts its
-// answers from 1 again.
+// answers from 1 again. The first list on the connection may have been requested
+// before a run was started; the second one was not, as a side requests one at a
+// time.
 func (p *Planner) setLink(m LinkMsg) {
 	w := p.byNode[m.Node]
 	if w == nil {
@@ -160,7 +104,7 @@
 			u.answerSeq = 0
 			p.sendStop(u)
 		case running:
-			u.answerSeq = 0
+			u.answerSeq, u.mustListIn = 0, w.reports+2
 		}
 	}
 }
@@ -183,6 +127,12 @@
 	if m.Draining {
 		p.setLeaving(w, m.Remaining)
 	}
+	if m.Departure != nil {
+		p.applyDeparture(w, *m.Departure)
+	}
+	if m.Handover != nil {
+		p.applyHandover(w, *m.Handover)
+	}
 	if m.Epoch == p.Epoch {
 		p.applyLists(w, m)
 	}
