A gang's predicted end is that of its slowest member

Cause: the end of a task that other requests await, or whose worker leaves, was predicted from its own progress. A gang ends together, and on uneven workers its fastest members are ahead.

Change: the latest predicted end of the running members. A task on a leaving worker also has to be predicted to end 0.2 s before it leaves.

Test: TestGangIsPredictedByItsSlowestMember, fails before.

--- a/core/plan/leave.go
+++ b/core/plan/leave.go
@@ -16,6 +16,9 @@
 	// leaveMargin is how long before a worker leaves the last stops are ordered,
 	// besides MaxStopTime: for the order, and for the report of the end.
 	leaveMargin = 250 * clock.Millisecond
+	// endMargin is how long before its worker leaves a task must be predicted to end,
+	// to end in time: for errors of the prediction, and for the report of the end.
+	endMargin = 200 * clock.Millisecond
 	// leaveCheckInterval is how often tasks on leaving workers are examined again:
 	// resources for them become free elsewhere, and predictions get better.
 	leaveCheckInterval = 400 * clock.Millisecond
@@ -100,7 +103,7 @@
 // leaves decides whether a task that needs some more time is stopped now, on a
 // worker that leaves after the time left.
 func (p *Planner) leaves(u *unit, left, needs clock.Millis, elsewhere *elsewhere) bool {
-	if !u.step.Service && needs <= left {
+	if !u.step.Service && needs+endMargin <= left {
 		return false
 	}
 	if u.step.Checkpoints {
@@ -186,10 +189,22 @@
 	}
 }
 
-// remaining estimates how much longer a running task takes: the rest of the work at
-// the run's speed until its worker last reported, less the time since then. A run
-// whose speed is not known takes its expected duration.
+// remaining estimates how much longer a running task takes. A gang ends with its
+// slowest member.
 func (p *Planner) remaining(u *unit) clock.Millis {
+	needs := p.remainingAlone(u)
+	for _, m := range gangUnits(u) {
+		if m != u && m.phase == running {
+			needs = max(needs, p.remainingAlone(m))
+		}
+	}
+	return needs
+}
+
+// remainingAlone estimates how much longer a task's own work takes: the rest of it
+// at the run's speed until its worker last reported, less the time since then. A
+// run whose speed is not known takes its expected duration.
+func (p *Planner) remainingAlone(u *unit) clock.Millis {
 	since := u.confirmedAt
 	if u.baseAt > 0 {
 		since = u.baseAt
--- a/core/plan/leave_test.go
+++ b/core/plan/leave_test.go
@@ -188,6 +188,29 @@
 	}
 }
 
+// A gang ends with its slowest member, also if the leaving one is ahead. On scale-1 of
+// lonja, whose workers are uneven, ten gangs that other requests awaited were stopped,
+// because their fastest members were about to end.
+func TestGangIsPredictedByItsSlowestMember(t *testing.T) {
+	f := newFleet(t, 3, 3, workerResources)
+	j := jobOf("gang", 2, 4000, 8)
+	j.Steps[0].Gang = true
+	var slow *host
+	f.slowdown = func(h *host) float64 {
+		if h == slow {
+			return 4
+		}
+		return 1
+	}
+	f.submit(j)
+	f.run(50)
+	fast := f.hostOf("gang.0.0.0")
+	slow = f.hostOf("gang.0.0.1")
+	f.run(2000)
+	f.announceLeave(3000, fast)
+	qt.Check(t, f.events["task_moved"], qt.Equals, 1)
+}
+
 // Many workers leave at once while more work waits than fits: nothing waits for a
 // lease, and the work of tasks with checkpoints is kept.
 func TestNothingWaitsForLeasesOfWorkersThatAnnouncedToLeave(t *testing.T) {
