Soak: data centres are closed and reopened among the faults

At the end of each run, with all older connections silenced, a data centre is closed while jobs arrive, and nothing may start there once that has to be in force.

--- a/cmd/gypsumcrank/soak_test.go
+++ b/cmd/gypsumcrank/soak_test.go
@@ -83,6 +83,7 @@
 	faultEnds map[string]time.Time
 	faultAt   map[string]time.Time // when a front, or "store" for all, was last known to be disturbed
 	configs   []time.Time          // when each version of the configuration was acknowledged
+	closed    bool                 // the data centre dc-0 is closed
 }
 
 func runSoak(t *testing.T, seed uint64) {
@@ -112,7 +113,7 @@
 	s.endFaults(time.Now().Add(time.Hour))
 	s.silenceOpen()
 	s.changeConfig()
-	time.Sleep(configContact + 100*time.Millisecond)
+	s.checkClosing()
 	s.checkConfig()
 	s.check(checker)
 }
@@ -143,6 +144,8 @@
 	case 10:
 		if s.r.IntN(3) == 0 {
 			s.silenceOpen()
+		} else {
+			s.toggleCentre()
 		}
 	default:
 		name := randomKey(s.r, s.proxies)
@@ -218,10 +221,11 @@
 	s.configs = append(s.configs, time.Now())
 }
 
-// Limits of checkConfig.
+// Limits of checkConfig and checkClosing.
 const (
 	configDelay   = 2 * time.Second // within which a change has to be in force
 	configContact = 3 * time.Second // after a fault a front counts as disturbed that long
+	closeDelay    = 5 * time.Second // within which the closing of a data centre has to be in force
 )
 
 // checkConfig checks that each front that is not disturbed follows the newest version
@@ -244,6 +248,41 @@
 	}
 }
 
+// toggleCentre closes a data centre, or reopens it.
+func (s *soak) toggleCentre() {
+	if s.closed = !s.closed; s.closed {
+		_ = s.closeCentre([]string{"dc-0"})
+	} else {
+		_ = s.reopenCentre([]string{"dc-0"})
+	}
+}
+
+// checkClosing closes a data centre while work arrives, and checks that nothing starts
+// there once that has to be in force. The last faults, silenced connections, are past
+// contact by then.
+func (s *soak) checkClosing() {
+	if !s.closed {
+		s.toggleCentre()
+	}
+	inForce := time.Now().Add(closeDelay)
+	for end := time.Now().Add(configContact + closeDelay); time.Now().Before(end); {
+		s.submitOne()
+		time.Sleep(250 * time.Millisecond)
+	}
+	for i := range s.executors {
+		if e := s.executors[i]; s.centreOf(i) == "dc-0" && e.LastStart().After(inForce) {
+			s.t.Errorf("a task started beside %s, %s after its data centre was to be closed", i, e.LastStart().Sub(inForce))
+		}
+	}
+	s.toggleCentre()
+}
+
+// centreOf returns the data centre of a process.
+func (s *soak) centreOf(name string) string {
+	i, _ := strconv.Atoi(name[strings.LastIndex(name, "-")+1:])
+	return fmt.Sprintf("dc-%d", i%2)
+}
+
 // submitOne submits a new job once, at a random front, which may be faulty.
 func (s *soak) submitOne() {
 	id := fmt.Sprintf("%016x", s.r.Uint64())
--- a/internal/standin/plat/executor.go
+++ b/internal/standin/plat/executor.go
@@ -49,6 +49,7 @@
 	ended      [][]any        // ends that the caller of hold has not acknowledged
 	lastEnd    int64          // number of the latest end
 	starts     map[string]int
+	lastStart  time.Time
 	done       map[string]int
 	changed    chan struct{}
 }
@@ -93,6 +94,13 @@
 	return out
 }
 
+// LastStart returns when the executor last started a task; zero if never.
+func (e *Executor) LastStart() time.Time {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.lastStart
+}
+
 // Running returns the names of the running tasks.
 func (e *Executor) Running() []string {
 	e.mu.Lock()
@@ -224,6 +232,7 @@
 		return
 	}
 	e.starts[o.Task]++
+	e.lastStart = time.Now()
 	if e.Checker != nil {
 		e.Checker.start(o.Task, strings.SplitN(o.Task, ".", 2)[0], e.ID)
 	}
