--- a/core/plan/centre.go
+++ b/core/plan/centre.go
@@ -14,6 +14,7 @@
 	confirmedAt clock.Millis   // all closings up to this time are known
 	watched     map[string]*closing
 	held        []heldStart
+	heldSince   clock.Millis // when the log said that starts are held; 0 if they are not
 }
 
 // closing is one closed data centre, until it is reopened.
@@ -53,6 +54,19 @@
 	return p.closings.closed == nil || p.now.Monotonic-p.closings.confirmedAt > max(limit/2, limit-startTransit)
 }
 
+// reportHold logs when starts begin and cease to be held.
+func (p *Planner) reportHold() {
+	c := &p.closings
+	switch held := p.startsHeld(); {
+	case held && c.heldSince == 0:
+		c.heldSince = p.now.Monotonic
+		p.emit(Event{Kind: "starts_held", Detail: "closed data centres last confirmed " + (p.now.Monotonic - c.confirmedAt).String() + " ago"})
+	case !held && c.heldSince > 0:
+		p.emit(Event{Kind: "starts_released", Wait: p.now.Monotonic - c.heldSince})
+		c.heldSince = 0
+	}
+}
+
 // holdStart keeps a recorded start until startsHeld no longer holds.
 func (p *Planner) holdStart(u *unit) {
 	p.closings.held = append(p.closings.held, heldStart{u, u.run})
--- a/core/plan/centre_test.go
+++ b/core/plan/centre_test.go
@@ -182,9 +182,11 @@
 	c := qt.New(t)
 	c.Check([]int{f.runningIn("north"), f.runningIn("south")}, qt.DeepEquals, []int{0, 0})
 	f.operatorSilent = false
+	c.Check(f.events["starts_held"], qt.Equals, 1)
 	f.run(200) // the recorded starts in the south are ordered without another write
 	c.Check(f.runningIn("south"), qt.Equals, 16)
 	c.Check(f.runningIn("north"), qt.Equals, 0)
+	c.Check(f.events["starts_released"], qt.Equals, 1)
 }
 
 // A worker whose side does not report a data centre gets nothing while any is
--- a/core/plan/leave.go
+++ b/core/plan/leave.go
@@ -84,14 +84,14 @@
 		}
 		return units[i].name.Less(units[j].name)
 	})
-	elsewhere := &elsewhere{p: p}
+	places := &placesElsewhere{p: p}
 	for _, u := range units {
 		if u.phase != running { // stopped with its gang
 			continue
 		}
 		w := u.placedOn
 		left, needs := w.leavesAt-p.now.Monotonic, p.remaining(u)
-		if !p.leaves(u, left, needs, elsewhere) {
+		if !p.leaves(u, left, needs, places) {
 			continue
 		}
 		p.emit(Event{Kind: "task_moved", Job: u.job.ID, Task: u.fullName, Worker: w.node, Run: u.run, Detail: fmt.Sprintf("its worker drains before the task would end: leaves_in=%s needs=%s", left, needs)})
@@ -102,12 +102,12 @@
 
 // leaves decides whether a task that needs some more time is stopped now, on a
 // worker that leaves after the time left.
-func (p *Planner) leaves(u *unit, left, needs clock.Millis, elsewhere *elsewhere) bool {
+func (p *Planner) leaves(u *unit, left, needs clock.Millis, places *placesElsewhere) bool {
 	if !u.step.Service && needs+endMargin <= left {
 		return false
 	}
 	if u.step.Checkpoints {
-		return p.leavesSoon(u.placedOn) || elsewhere.fits(u)
+		return p.leavesSoon(u.placedOn) || places.fits(u)
 	}
 	if !u.placedOn.stayKnown || left <= 0 {
 		return false // it may still end there
@@ -116,12 +116,12 @@
 		return true
 	}
 	doomed := u.step.Service || needs*100 > left*doomedPercent
-	return doomed && (u.job.Priority == 0 || elsewhere.fits(u))
+	return doomed && (u.job.Priority == 0 || places.fits(u))
 }
 
-// elsewhere counts the resources outside leaving workers for the tasks that move
+// placesElsewhere counts the resources outside leaving workers for the tasks that move
 // in one round.
-type elsewhere struct {
+type placesElsewhere struct {
 	p        *Planner
 	snapshot *snapshot
 	headroom map[*worker]task.Resources
@@ -130,7 +130,7 @@
 
 // fits reports whether a task, or its whole gang, finds a place outside leaving
 // workers, and takes the resources. Other members of its gang leave theirs.
-func (e *elsewhere) fits(u *unit) bool {
+func (e *placesElsewhere) fits(u *unit) bool {
 	if e.snapshot == nil {
 		e.snapshot, e.blocked = e.p.newSnapshot(), make(map[*job]bool)
 	}
--- a/core/plan/plan.go
+++ b/core/plan/plan.go
@@ -151,6 +151,7 @@
 		p.resend(w)
 	}
 	p.evictOverdue()
+	p.reportHold()
 	p.checkClosings()
 	p.checkLeaving()
 	for _, j := range p.jobs {
