--- a/core/plan/leave.go
+++ b/core/plan/leave.go
@@ -16,6 +16,9 @@
 	// leaveMargin is how long before a worker leaves the last stops are ordered,
 	// besides MaxStopTime: for the order, and for the report of the end.
 	leaveMargin = 250 * clock.Millisecond
+	// endMargin is how long before its worker leaves a task must be predicted to end,
+	// to end in time: for errors of the prediction, and for the report of the end.
+	endMargin = 200 * clock.Millisecond
 	// leaveCheckInterval is how often tasks on leaving workers are examined again:
 	// resources for them become free elsewhere, and predictions get better.
 	leaveCheckInterval = 400 * clock.Millisecond
@@ -81,14 +84,14 @@
 		}
 		return units[i].name.Less(units[j].name)
 	})
-	elsewhere := &elsewhere{p: p}
+	places := &placesElsewhere{p: p}
 	for _, u := range units {
 		if u.phase != running { // stopped with its gang
 			continue
 		}
 		w := u.placedOn
 		left, needs := w.leavesAt-p.now.Monotonic, p.remaining(u)
-		if !p.leaves(u, left, needs, elsewhere) {
+		if !p.leaves(u, left, needs, places) {
 			continue
 		}
 		p.emit(Event{Kind: "task_moved", Job: u.job.ID, Task: u.fullName, Worker: w.node, Run: u.run, Detail: fmt.Sprintf("its worker drains before the task would end: leaves_in=%s needs=%s", left, needs)})
@@ -99,12 +102,12 @@
 
 // leaves decides whether a task that needs some more time is stopped now, on a
 // worker that leaves after the time left.
-func (p *Planner) leaves(u *unit, left, needs clock.Millis, elsewhere *elsewhere) bool {
-	if !u.step.Service && needs <= left {
+func (p *Planner) leaves(u *unit, left, needs clock.Millis, places *placesElsewhere) bool {
+	if !u.step.Service && needs+endMargin <= left {
 		return false
 	}
 	if u.step.Checkpoints {
-		return p.leavesSoon(u.placedOn) || elsewhere.fits(u)
+		return p.leavesSoon(u.placedOn) || places.fits(u)
 	}
 	if !u.placedOn.stayKnown || left <= 0 {
 		return false // it may still end there
@@ -113,12 +116,12 @@
 		return true
 	}
 	doomed := u.step.Service || needs*100 > left*doomedPercent
-	return doomed && (u.job.Priority == 0 || elsewhere.fits(u))
+	return doomed && (u.job.Priority == 0 || places.fits(u))
 }
 
-// elsewhere counts the resources outside leaving workers for the tasks that move
+// placesElsewhere counts the resources outside leaving workers for the tasks that move
 // in one round.
-type elsewhere struct {
+type placesElsewhere struct {
 	p        *Planner
 	snapshot *snapshot
 	headroom map[*worker]task.Resources
@@ -127,7 +130,7 @@
 
 // fits reports whether a task, or its whole gang, finds a place outside leaving
 // workers, and takes the resources. Other members of its gang leave theirs.
-func (e *elsewhere) fits(u *unit) bool {
+func (e *placesElsewhere) fits(u *unit) bool {
 	if e.snapshot == nil {
 		e.snapshot, e.blocked = e.p.newSnapshot(), make(map[*job]bool)
 	}
@@ -186,10 +189,22 @@
 	}
 }
 
-// remaining estimates how much longer a running task takes: the rest of the work at
-// the run's speed until its worker last reported, less the time since then. A run
-// whose speed is not known takes its expected duration.
+// remaining estimates how much longer a running task takes. A gang ends with its
+// slowest member.
 func (p *Planner) remaining(u *unit) clock.Millis {
+	needs := p.remainingAlone(u)
+	for _, m := range gangUnits(u) {
+		if m != u && m.phase == running {
+			needs = max(needs, p.remainingAlone(m))
+		}
+	}
+	return needs
+}
+
+// remainingAlone estimates how much longer a task's own work takes: the rest of it
+// at the run's speed until its worker last reported, less the time since then. A
+// run whose speed is not known takes its expected duration.
+func (p *Planner) remainingAlone(u *unit) clock.Millis {
 	since := u.confirmedAt
 	if u.baseAt > 0 {
 		since = u.baseAt
