A start without an answer outlives a worker that leaves

Cause: a worker that deregistered was forgotten at once, with the starts that had no definite answer. Under the same ID a new process could carry one out while its task ran elsewhere, as only incarnations that were not yet given up passed on their tombstones. Change: such a worker is kept until those starts can't arrive, or until its next incarnation refuses them; its side names them with the deregistration. TestUnansweredStartOutlivesTheProcess failed first: a.0.0.0 ran on side-01 and side-00.

--- a/core/lease/lease.go
+++ b/core/lease/lease.go
@@ -64,8 +64,8 @@
 	Age  clock.Millis `cbor:"3,keyasint,omitempty"` // how long ago it was passed on
 }
 
-// Departure says that a worker's process is gone, and everything that ran on it
-// with it. The unanswered starts may still be carried out by a later process with
+// Departure says that a worker's process is gone or has left, and everything that
+// ran on it with it. The unanswered starts may still be carried out by a later process with
 // the same ID.
 type Departure struct {
 	Unanswered []Start `cbor:"1,keyasint,omitempty"`
--- a/core/lease/watch.go
+++ b/core/lease/watch.go
@@ -104,11 +104,16 @@
 	if !w.Gone(now) || now-w.Since < MaxOrderDelay {
 		return nil
 	}
-	d := &Departure{}
+	return &Departure{Unanswered: w.Unanswered(now)}
+}
+
+// Unanswered returns the starts that may still be carried out.
+func (w *Watch) Unanswered(now clock.Millis) []Start {
+	var out []Start
 	for _, s := range w.unanswered {
 		if age := now - s.at; age <= MaxOrderDelay {
-			d.Unanswered = append(d.Unanswered, Start{Task: s.task, Run: s.run, Age: age})
+			out = append(out, Start{Task: s.task, Run: s.run, Age: age})
 		}
 	}
-	return d
+	return out
 }
--- a/core/plan/lease.go
+++ b/core/plan/lease.go
@@ -5,6 +5,7 @@
 
 	"gypsumcrank/core/clock"
 	"gypsumcrank/core/lease"
+	"gypsumcrank/core/task"
 )
 
 // leaseEnd returns the end of a lease granted now, on the worker's clock. The
@@ -60,26 +61,53 @@
 // whose start may still be carried out, by a new process with the same ID, is
 // left until the lease has expired, or until a new incarnation refuses the start.
 func (p *Planner) applyDeparture(w *worker, d lease.Departure) {
+	over, held := p.endedBy(w, d)
+	if !w.departed || len(over) > 0 {
+		p.emit(Event{Kind: "worker_process_gone", Worker: w.node, Detail: fmt.Sprintf("%s over=%d unanswered=%d", w.incarnation.ID, len(over), held)})
+	}
+	w.departed = true
+	p.releaseUnits(over)
+}
+
+// applyLeft gives up a worker that has deregistered, once no start may be carried
+// out by a new process with the same ID.
+func (p *Planner) applyLeft(w *worker, d *lease.Departure) {
+	if d == nil {
+		d = &lease.Departure{}
+	}
+	w.left, w.capacity = true, task.Resources{}
+	over, _ := p.endedBy(w, *d)
+	p.releaseUnits(over)
+	p.forgetLeft(w)
+}
+
+// forgetLeft marks a worker that has left dead if it is not needed any more: a new
+// incarnation has no task of it to stop and no start to refuse.
+func (p *Planner) forgetLeft(w *worker) {
+	if w.left && len(w.units) == 0 && len(w.unanswered) == 0 && len(w.tombstones) == 0 {
+		p.markDead(w, "left")
+	}
+}
+
+// endedBy returns the tasks that are over with a worker's process, and the number
+// of those that are not, as their starts may still be carried out. The worker gets
+// no task before it sends its lists again.
+func (p *Planner) endedBy(w *worker, d lease.Departure) (over []*unit, held int) {
+	w.acceptedEpoch = false
 	for _, s := range d.Unanswered {
 		if o := w.unanswered[s.Task]; o == nil || o.run < s.Run {
 			w.unanswered[s.Task] = &unansweredStart{run: s.Run, count: 1, until: p.now.Monotonic + lease.MaxOrderDelay - s.Age}
 		}
 	}
 	p.dropExpired(w)
-	w.acceptedEpoch = false
-	over, left := []*unit(nil), 0
 	for _, u := range w.sorted() {
 		if o := w.unanswered[u.fullName]; u.phase != recording && o != nil && o.run == u.run {
-			left++
+			held++
 		} else {
 			over = append(over, u)
 		}
 	}
-	if !w.departed || len(over) > 0 {
-		p.emit(Event{Kind: "worker_process_gone", Worker: w.node, Detail: fmt.Sprintf("%s over=%d unanswered=%d", w.incarnation.ID, len(over), left)})
-	}
-	w.departed = true
-	p.releaseUnits(over)
+	return over, held
 }
 
 // releaseAll treats all runs on a worker as ended without a result.
--- a/core/plan/lease_test.go
+++ b/core/plan/lease_test.go
@@ -227,38 +227,44 @@
 }
 
 // A start that had no answer may be carried out by a new process with the same
-// ID, after its worker's process is gone. Its task is not started elsewhere before
-// the new process refuses that start. The fleet fails the test if it runs twice.
+// ID, after its worker's process is gone or has left. Its task is not started
+// elsewhere before the new process refuses that start. The fleet fails the test
+// if it runs twice.
 func TestUnansweredStartOutlivesTheProcess(t *testing.T) {
-	for _, takeover := range []bool{false, true} {
-		t.Run(fmt.Sprint(takeover), func(t *testing.T) {
-			f := newFleet(t, 3, 3, workerResources)
-			late := true
-			f.orderDelay = func() clock.Millis {
-				if late {
-					late = false
-					return 4000
+	for _, left := range []bool{false, true} {
+		for _, takeover := range []bool{false, true} {
+			t.Run(fmt.Sprintf("left=%t,takeover=%t", left, takeover), func(t *testing.T) {
+				f := newFleet(t, 3, 3, workerResources)
+				restartAt, late := f.now+1700, true
+				f.orderDelay = func() clock.Millis {
+					if late {
+						late = false
+						return restartAt + 1 - f.now // before any planner can warn the new process
+					}
+					return 0
 				}
-				return 0
-			}
-			f.submit(oneTask("a", 8))
-			f.run(100)
-			var h *host
-			for _, o := range f.hosts {
-				if len(f.records["a"].Tasks) > 0 && f.records["a"].Tasks[0].Node == o.node {
-					h = o
+				f.submit(oneTask("a", 8))
+				f.run(100)
+				h := f.host(f.records["a"].Tasks[0].Node)
+				h.announce(100)
+				f.run(100)
+				gone := h.baseReport()
+				gone.Gone, gone.Departure = true, &lease.Departure{Unanswered: h.watch.Unanswered(f.now)}
+				if left {
+					f.send(gone)
 				}
-			}
-			h.announce(100)
-			f.run(100)
-			h.vanish()
-			if takeover {
-				f.takeOver()
-			}
-			f.run(1500)
-			h.restart()
-			f.finish(30_000)
-		})
+				h.vanish()
+				if takeover {
+					f.takeOver()
+				}
+				if left {
+					f.send(gone) // a side repeats it to each planner
+				}
+				f.run(restartAt - f.now)
+				h.restart()
+				f.finish(30_000)
+			})
+		}
 	}
 }
 
--- a/core/plan/worker.go
+++ b/core/plan/worker.go
@@ -28,6 +28,7 @@
 	acceptedEpoch       bool         // it has accepted this planner's epoch
 	dead                bool         // it has left or was replaced
 	departed            bool         // its side has seen that its process is gone
+	left                bool         // it has deregistered
 	draining            bool         // it gets no new tasks
 	leavesAt            clock.Millis // monotonic time until which it stays, while draining
 
@@ -114,11 +115,11 @@
 		return
 	}
 	w := p.resolveWorker(m)
-	if w.dead {
+	if w.dead || w.left && !m.Gone {
 		return
 	}
 	if m.Gone {
-		p.markDead(w, "left")
+		p.applyLeft(w, m.Departure)
 		return
 	}
 	if m.Draining && !w.draining {
--- a/io/side/side.go
+++ b/io/side/side.go
@@ -166,6 +166,7 @@
 	s.Log.Info("endpoint_left", "endpoint", id)
 	s.departed = s.newReport(*s.endpoint)
 	s.departed.Gone = true
+	s.departed.Departure = &lease.Departure{Unanswered: s.watch.Unanswered(s.Clock.Monotonic())}
 	s.endpoint = nil
 	s.send(link.Frame{Report: s.departed})
 	s.notifyChanged()
