io/side, platform: tests of what a side observes and hands over

Resets and time-outs prove nothing, a refused connection does so only after the announced end; a side hands over all that it passed on for earlier planners.

--- a/io/side/side_test.go
+++ b/io/side/side_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"log/slog"
+	"net"
 	"sync"
 	"testing"
 	"time"
@@ -10,8 +11,11 @@
 	qt "github.com/frankban/quicktest"
 
 	"gypsumcrank/core/clock"
+	"gypsumcrank/core/fault"
+	"gypsumcrank/core/lease"
 	"gypsumcrank/core/plan"
 	"gypsumcrank/core/task"
+	"gypsumcrank/io/link"
 )
 
 // acceptingWorker is a worker that accepts and records all orders.
@@ -103,3 +107,99 @@
 	qt.Check(t, w.Addr, qt.Equals, "")
 	qt.Check(t, time.Since(begin) < 2*time.Second, qt.IsTrue)
 }
+
+// connected returns a side with a manual clock that has run for a minute, its
+// planner's end of the connection, and the parameters of a hold call.
+func connected(t *testing.T) (*Side, *link.Conn, holdParams) {
+	s, _ := newSide()
+	s.Clock = clock.Manual(1_000_000)
+	s.startedAt = s.Clock.Monotonic() - clock.Minute
+	s.Heartbeat(Endpoint{Incarnation: incarnation(5), Seq: 1})
+	here, there := net.Pipe()
+	conn, planner := link.New(here), link.New(there)
+	t.Cleanup(conn.Close)
+	t.Cleanup(planner.Close)
+	s.conn, s.epoch = conn, 3
+	s.applyGrant(plan.Grant{Incarnation: incarnation(5), Epoch: 3, Until: 9000})
+	p, ok := s.nextHold(context.Background())
+	qt.Assert(t, ok, qt.IsTrue)
+	return s, planner, p
+}
+
+// fail lets hold calls fail for a while, as often as runHold repeats them.
+func (s *Side) fail(p holdParams, err error, d clock.Millis) {
+	for end := s.Clock.Monotonic() + d; s.Clock.Monotonic() < end; {
+		s.Clock.Advance(150)
+		s.sendHandover(p, err)
+	}
+}
+
+// departures returns how many reports the planner got, and how many said that
+// the worker's process is gone.
+func departures(planner *link.Conn) (reports, gone int) {
+	for {
+		f, err := planner.Receive(100)
+		if err != nil {
+			return reports, gone
+		}
+		reports++
+		if f.Report.Departure != nil {
+			gone++
+		}
+	}
+}
+
+func TestSideReportsAWorkerThatWasRemovedAfterItsNotice(t *testing.T) {
+	c, ctx := qt.New(t), context.Background()
+	s, planner, p := connected(t)
+	s.fail(p, ErrNoProcess, 3000) // not announced
+	s.Heartbeat(Endpoint{Incarnation: incarnation(5), Seq: 2, Draining: true, Remaining: 1500})
+	s.fail(p, ErrNoProcess, 1500) // it had this much time left
+	_, gone := departures(planner)
+	c.Check(gone, qt.Equals, 0)
+	s.fail(p, ErrNoProcess, 600)
+	_, gone = departures(planner)
+	c.Check(gone, qt.Equals, 1)
+	got, why := s.execute(ctx, plan.Order{Kind: plan.OrderStop, Incarnation: incarnation(5), Epoch: 3})
+	c.Check(got, qt.Equals, plan.Refused)
+	c.Check(why, qt.Contains, "gone")
+	s.Heartbeat(Endpoint{Incarnation: incarnation(6), Seq: 1})
+	got, _ = s.execute(ctx, plan.Order{Kind: plan.OrderStop, Incarnation: incarnation(6), Epoch: 3})
+	c.Check(got, qt.Equals, plan.Accepted)
+}
+
+func TestSideProvesNothingFromResetsAndTimeouts(t *testing.T) {
+	s, planner, p := connected(t)
+	s.Heartbeat(Endpoint{Incarnation: incarnation(5), Seq: 2, Draining: true})
+	s.fail(p, fault.New(fault.StoreUnavailable, "", "connection reset by peer"), 5000)
+	reports, gone := departures(planner)
+	qt.Check(t, reports >= 5, qt.IsTrue)
+	qt.Check(t, gone, qt.Equals, 0)
+}
+
+// What a side hands over to the next planner holds all that it passed on for the
+// last one.
+func TestSideHandsOverTheLeasesThatItPassedOn(t *testing.T) {
+	c := qt.New(t)
+	s, planner, p := connected(t)
+	s.sendReport(canceled(), p, HoldReply{Clock: 4000})
+	_, _ = s.execute(context.Background(), plan.Order{Kind: plan.OrderStart, Incarnation: incarnation(5), Task: "a", Run: 1, Epoch: 3, Until: 9500})
+	s.epoch = 8 // another planner
+	p, _ = s.nextHold(context.Background())
+	s.Clock.Advance(700)
+	s.sendHandover(p, fault.New(fault.StoreUnavailable, "", "time-out"))
+	var last *plan.ReportMsg
+	for f, err := planner.Receive(100); err == nil; f, err = planner.Receive(100) {
+		last = f.Report
+	}
+	c.Assert(last, qt.IsNotNil)
+	c.Check(last.Handover, qt.DeepEquals, &lease.Handover{Until: 9500, Clock: 4000, Age: 700, Uptime: 60_700})
+	got, _ := s.execute(context.Background(), plan.Order{Kind: plan.OrderStart, Incarnation: incarnation(5), Epoch: 3, Until: 20_000})
+	c.Check(got, qt.Equals, plan.Refused) // the last planner's
+}
+
+func canceled() context.Context {
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	return ctx
+}
