--- a/core/plan/lease_test.go
+++ b/core/plan/lease_test.go
@@ -203,6 +203,22 @@
 	f.waitForGang(60_000)
 }
 
+// A handover tells of the time before the planner's own orders: a start may be on
+// its way to the side. The fleet fails the test if the task runs twice.
+func TestHandoverDoesNotCoverThePlannersOwnOrders(t *testing.T) {
+	f := newFleet(t, 2, 2, workerResources)
+	f.run(1000)
+	f.submit(oneTask("a", 8))
+	for f.records["a"] == nil {
+		f.run(1)
+	}
+	m := f.host(f.records["a"].Tasks[0].Node).baseReport()
+	m.Handover = &lease.Handover{Uptime: clock.Minute}
+	f.send(m)
+	f.finish(5000)
+	qt.Check(t, f.records["a"].Tasks[0].Run, qt.Equals, 1)
+}
+
 // A deposed planner may extend leases for a while through a side that the new
 // planner can't reach. Once the side is reached, it hands over what it passed on.
 func TestGrantsOfADeposedPlannerAreWaitedFor(t *testing.T) {
--- a/io/side/side_test.go
+++ b/io/side/side_test.go
@@ -120,7 +120,7 @@
 	t.Cleanup(conn.Close)
 	t.Cleanup(planner.Close)
 	s.conn, s.epoch = conn, 3
-	s.applyGrant(plan.Grant{Incarnation: incarnation(5), Epoch: 3, Until: 9000})
+	s.applyGrant(plan.Grant{Incarnation: incarnation(5), Epoch: 3, Until: 9500})
 	p, ok := s.nextHold(context.Background())
 	qt.Assert(t, ok, qt.IsTrue)
 	return s, planner, p
@@ -180,22 +180,29 @@
 // What a side hands over to the next planner holds all that it passed on for the
 // last one.
 func TestSideHandsOverTheLeasesThatItPassedOn(t *testing.T) {
-	c := qt.New(t)
+	c, ctx := qt.New(t), context.Background()
 	s, planner, p := connected(t)
 	s.sendReport(canceled(), p, HoldReply{Clock: 4000})
-	_, _ = s.execute(context.Background(), plan.Order{Kind: plan.OrderStart, Incarnation: incarnation(5), Task: "a", Run: 1, Epoch: 3, Until: 9500})
-	s.epoch = 8 // another planner
-	p, _ = s.nextHold(context.Background())
-	s.Clock.Advance(700)
-	s.sendHandover(p, fault.New(fault.StoreUnavailable, "", "time-out"))
-	var last *plan.ReportMsg
-	for f, err := planner.Receive(100); err == nil; f, err = planner.Receive(100) {
-		last = f.Report
+	handover := func() *lease.Handover {
+		s.Clock.Advance(700)
+		s.sendHandover(p, fault.New(fault.StoreUnavailable, "", "time-out"))
+		var last *plan.ReportMsg
+		for f, err := planner.Receive(100); err == nil; f, err = planner.Receive(100) {
+			last = f.Report
+		}
+		return last.Handover
 	}
-	c.Assert(last, qt.IsNotNil)
-	c.Check(last.Handover, qt.DeepEquals, &lease.Handover{Until: 9500, Clock: 4000, Age: 700, Uptime: 60_700})
-	got, _ := s.execute(context.Background(), plan.Order{Kind: plan.OrderStart, Incarnation: incarnation(5), Epoch: 3, Until: 20_000})
-	c.Check(got, qt.Equals, plan.Refused) // the last planner's
+	c.Check(handover(), qt.DeepEquals, &lease.Handover{Until: 9500, Clock: 4000, Age: 700, Uptime: 60_700})
+	start := plan.Order{Kind: plan.OrderStart, Incarnation: incarnation(5), Task: "a", Run: 1, Epoch: 3, Until: 9700}
+	got, _ := s.execute(ctx, start)
+	c.Check(got, qt.Equals, plan.Accepted)
+	s.epoch = 8 // another planner
+	p, _ = s.nextHold(ctx)
+	c.Check(handover(), qt.DeepEquals, &lease.Handover{Until: 9700, Clock: 4000, Age: 1400, Uptime: 61_400})
+	start.Until = 20_000
+	got, _ = s.execute(ctx, start) // the last planner's
+	c.Check(got, qt.Equals, plan.Refused)
+	c.Check(handover().Until, qt.Equals, clock.Millis(9700))
 }
 
 func canceled() context.Context {
