core/plan: the end of a worker may be reported before its jobs are read

Cause: a side that connects while a new planner still reads the jobs reports the deregistration of its worker first. The worker was marked dead, the tasks that were read afterwards were put on it in doubt, and nothing looks at the leases of a dead worker: the gang stood for the rest of the term. Change: tasks that turn up on a worker that has left or was replaced are settled on the next tick. TestEndOfAWorkerIsReportedBeforeTheJobsAreRead failed first.

--- a/core/plan/lease.go
+++ b/core/plan/lease.go
@@ -78,15 +78,37 @@
 	w.left, w.capacity = true, task.Resources{}
 	over, _ := p.endedBy(w, *d)
 	p.releaseUnits(over)
-	p.forgetLeft(w)
+	p.settle(w)
 }
 
-// forgetLeft marks a worker that has left dead if it is not needed any more: a new
-// incarnation has no task of it to stop and no start to refuse.
-func (p *Planner) forgetLeft(w *worker) {
-	if w.left && len(w.units) == 0 && len(w.unanswered) == 0 && len(w.tombstones) == 0 {
-		p.markDead(w, "left")
+// settle releases what a worker that has left or was replaced still holds: starts
+// that can't be carried out any more, and tasks of jobs that were read after its
+// end was reported.
+func (p *Planner) settle(w *worker) {
+	switch {
+	case w.dead && len(w.units) > 0:
+		if next := p.successor(w); next != nil {
+			p.replaceIncarnation(w, next)
+		} else {
+			p.releaseAll(w)
+		}
+	case w.left && !w.dead:
+		over, _ := p.endedBy(w, lease.Departure{})
+		p.releaseUnits(over)
+		if len(w.units) == 0 && len(w.unanswered) == 0 && len(w.tombstones) == 0 {
+			p.markDead(w, "left")
+		}
+	}
+}
+
+// successor returns the present incarnation under a dead worker's ID, if any.
+func (p *Planner) successor(w *worker) *worker {
+	for _, o := range p.workers {
+		if !o.dead && o.incarnation.ID == w.incarnation.ID && o.incarnation.StartedAt > w.incarnation.StartedAt {
+			return o
+		}
 	}
+	return nil
 }
 
 // endedBy returns the tasks that are over with a worker's process, and the number
--- a/core/plan/lease_test.go
+++ b/core/plan/lease_test.go
@@ -284,6 +284,37 @@
 	}
 }
 
+// A side may report the end of its worker to a new planner before that planner
+// has read the jobs that ran there.
+func TestEndOfAWorkerIsReportedBeforeTheJobsAreRead(t *testing.T) {
+	for _, deregistered := range []bool{false, true} {
+		t.Run(fmt.Sprint(deregistered), func(t *testing.T) {
+			f := newFleet(t, 3, 3, workerResources)
+			h := f.startGang()
+			h.vanish()
+			gone := h.baseReport()
+			gone.Gone, gone.Departure = deregistered, &lease.Departure{}
+			f.rev++
+			f.epoch = f.rev
+			f.planner = f.newPlanner(f.epoch)
+			f.send(plan.LinkMsg{Node: h.node, Up: true})
+			f.send(gone)
+			f.send(plan.ConfigMsg{Config: f.config})
+			f.send(f.jobMsg("g"))
+			for _, o := range f.hosts {
+				if o != h {
+					f.connect(o)
+				}
+			}
+			if !deregistered {
+				f.run(600)
+				f.send(gone) // a side repeats it
+			}
+			f.waitForGang(5000)
+		})
+	}
+}
+
 // TestInvariantsHoldWhileWorkersVanish runs random jobs while workers announce
 // their end and are gone or go on, stop to answer their sides, crash and restart,
 // and planners change. Orders are carried out late with odd seeds. The fleet checks
--- a/core/plan/plan.go
+++ b/core/plan/plan.go
@@ -141,7 +141,7 @@
 	for _, w := range p.workers {
 		p.checkLease(w)
 		p.resend(w)
-		p.forgetLeft(w)
+		p.settle(w)
 	}
 	p.evictOverdue()
 	for _, j := range p.jobs {
