--- a/core/plan/lease_test.go
+++ b/core/plan/lease_test.go
@@ -203,6 +203,22 @@
 	f.waitForGang(60_000)
 }
 
+// A handover tells of the time before the planner's own orders: a start may be on
+// its way to the side. The fleet fails the test if the task runs twice.
+func TestHandoverDoesNotCoverThePlannersOwnOrders(t *testing.T) {
+	f := newFleet(t, 2, 2, workerResources)
+	f.run(1000)
+	f.submit(oneTask("a", 8))
+	for f.records["a"] == nil {
+		f.run(1)
+	}
+	m := f.host(f.records["a"].Tasks[0].Node).baseReport()
+	m.Handover = &lease.Handover{Uptime: clock.Minute}
+	f.send(m)
+	f.finish(5000)
+	qt.Check(t, f.records["a"].Tasks[0].Run, qt.Equals, 1)
+}
+
 // A deposed planner may extend leases for a while through a side that the new
 // planner can't reach. Once the side is reached, it hands over what it passed on.
 func TestGrantsOfADeposedPlannerAreWaitedFor(t *testing.T) {
@@ -227,37 +243,74 @@
 }
 
 // A start that had no answer may be carried out by a new process with the same
-// ID, after its worker's process is gone. Its task is not started elsewhere before
-// the new process refuses that start. The fleet fails the test if it runs twice.
+// ID, after its worker's process is gone or has left. Its task is not started
+// elsewhere before the new process refuses that start. The fleet fails the test
+// if it runs twice.
 func TestUnansweredStartOutlivesTheProcess(t *testing.T) {
-	for _, takeover := range []bool{false, true} {
-		t.Run(fmt.Sprint(takeover), func(t *testing.T) {
-			f := newFleet(t, 3, 3, workerResources)
-			late := true
-			f.orderDelay = func() clock.Millis {
-				if late {
-					late = false
-					return 4000
+	for _, left := range []bool{false, true} {
+		for _, takeover := range []bool{false, true} {
+			t.Run(fmt.Sprintf("left=%t,takeover=%t", left, takeover), func(t *testing.T) {
+				f := newFleet(t, 3, 3, workerResources)
+				restartAt, late := f.now+1700, true
+				f.orderDelay = func() clock.Millis {
+					if late {
+						late = false
+						return restartAt + 1 - f.now // before any planner can warn the new process
+					}
+					return 0
 				}
-				return 0
-			}
-			f.submit(oneTask("a", 8))
-			f.run(100)
-			var h *host
+				f.submit(oneTask("a", 8))
+				f.run(100)
+				h := f.host(f.records["a"].Tasks[0].Node)
+				h.announce(100)
+				f.run(100)
+				gone := h.baseReport()
+				gone.Gone, gone.Departure = true, &lease.Departure{Unanswered: h.watch.Unanswered(f.now)}
+				if left {
+					f.send(gone)
+				}
+				h.vanish()
+				if takeover {
+					f.takeOver()
+				}
+				if left {
+					f.send(gone) // a side repeats it to each planner
+				}
+				f.run(restartAt - f.now)
+				h.restart()
+				f.finish(30_000)
+			})
+		}
+	}
+}
+
+// A side may report the end of its worker to a new planner before that planner
+// has read the jobs that ran there.
+func TestEndOfAWorkerIsReportedBeforeTheJobsAreRead(t *testing.T) {
+	for _, deregistered := range []bool{false, true} {
+		t.Run(fmt.Sprint(deregistered), func(t *testing.T) {
+			f := newFleet(t, 3, 3, workerResources)
+			h := f.startGang()
+			h.vanish()
+			gone := h.baseReport()
+			gone.Gone, gone.Departure = deregistered, &lease.Departure{}
+			f.rev++
+			f.epoch = f.rev
+			f.planner = f.newPlanner(f.epoch)
+			f.send(plan.LinkMsg{Node: h.node, Up: true})
+			f.send(gone)
+			f.send(plan.ConfigMsg{Config: f.config})
+			f.send(f.jobMsg("g"))
 			for _, o := range f.hosts {
-				if len(f.records["a"].Tasks) > 0 && f.records["a"].Tasks[0].Node == o.node {
-					h = o
+				if o != h {
+					f.connect(o)
 				}
 			}
-			h.announce(100)
-			f.run(100)
-			h.vanish()
-			if takeover {
-				f.takeOver()
+			if !deregistered {
+				f.run(600)
+				f.send(gone) // a side repeats it
 			}
-			f.run(1500)
-			h.restart()
-			f.finish(30_000)
+			f.waitForGang(5000)
 		})
 	}
 }
--- a/core/plan/plan.go
+++ b/core/plan/plan.go
@@ -149,6 +149,7 @@
 	for _, w := range p.workers {
 		p.checkLease(w)
 		p.resend(w)
+		p.settle(w)
 	}
 	p.evictOverdue()
 	p.reportHold()
--- a/core/plan/worker.go
+++ b/core/plan/worker.go
@@ -29,6 +29,7 @@
 	acceptedEpoch       bool         // it has accepted this planner's epoch
 	dead                bool         // it has left or was replaced
 	departed            bool         // its side has seen that its process is gone
+	left                bool         // it has deregistered
 	draining            bool         // it gets no new tasks
 	leavesAt            clock.Millis // monotonic time until which it stays, while draining
 	stayKnown           bool         // it said how long it stays
@@ -116,12 +117,12 @@
 		return
 	}
 	w := p.resolveWorker(m)
-	if w.dead {
+	if w.dead || w.left && !m.Gone {
 		return
 	}
 	p.setCentre(w, m.DataCentre)
 	if m.Gone {
-		p.markDead(w, "left")
+		p.applyLeft(w, m.Departure)
 		return
 	}
 	if m.Draining {
