core/wide, core/plan: reservations with an owner, a place and an expected start

Cause: reserveForStarved took workers out of each round for every gang that had waited for 3 s, each for itself alone, free ones too and in racks that could not hold the gang, and gave them to nobody until the gang started.

Now a reservation has an owner, a place that can hold the whole request (one rack for a gang of one rack), an expected start from the expected ends of what runs there, and all reservations of a service hold at most half of it (the first may be larger). Until then the resources are lent to work that ends by then or is cheap to stop. When an expected start passes, the place is chosen anew and twice the expected duration must fit; after two passes nothing is lent by estimates any more. Without an expected start nothing is kept. A request that has waited 1.5 s while less than half of its service is in use ignores reservations, as it ignores the headroom.

The log says at most every 2 s why the first waiting request waits (task_waits), and for which job, where and until when resources are kept (resources_reserved).

Tests: the fake fleet checks in every test that no job stands for 3 s in a calm state although it could run. Without any reservation TestWideGangStartsBesideANarrowStream fails in all four cases.

--- a/core/plan/fleet_test.go
+++ b/core/plan/fleet_test.go
@@ -40,7 +40,9 @@
 	completed        map[string]bool       // tasks with a run that ended done
 	acknowledged     map[string]bool       // completed tasks whose end the planner acknowledged
 	finishedAt       map[string]clock.Millis
-	checkpoints      map[string]bool // checkpoints that were listed, with the task or gang that they belong to
+	checkpoints      map[string]bool         // checkpoints that were listed, with the task or gang that they belong to
+	disturbedAt      clock.Millis            // when something was last disturbed
+	standingSince    map[string]clock.Millis // since when a job could start and does not, by job
 	evicted          int
 	lostWork         float64 // core-milliseconds of work that were stopped and not saved
 }
@@ -59,7 +61,7 @@
 func newFleet(t *testing.T, hosts, perRack int, resources task.Resources) *fleet {
 	f := &fleet{
 		t: t, now: 1_000_000, storeDelay: 8, jobs: map[string]*task.Job{}, cancels: map[string]bool{},
-		records: map[string]*task.Progress{}, revs: map[string]int64{}, completed: map[string]bool{}, acknowledged: map[string]bool{}, finishedAt: map[string]clock.Millis{}, checkpoints: map[string]bool{},
+		records: map[string]*task.Progress{}, revs: map[string]int64{}, completed: map[string]bool{}, acknowledged: map[string]bool{}, finishedAt: map[string]clock.Millis{}, standingSince: map[string]clock.Millis{}, checkpoints: map[string]bool{},
 	}
 	f.config = (&route.Config{Version: 1, Accounts: map[string]route.Account{}}).Prepare()
 	f.duration = func(j *task.Job, step int, _ *host) clock.Millis { return j.Steps[step].Estimate }
@@ -86,6 +88,7 @@
 // takeOver starts a new planner from what the store holds.
 func (f *fleet) takeOver() {
 	f.rev++
+	f.disturb()
 	f.epoch = f.rev
 	f.planner = f.newPlanner(f.epoch)
 	f.send(plan.ConfigMsg{Config: f.config})
@@ -206,6 +209,7 @@
 	}
 	outcome, answerAfter := plan.InDoubt, answerTimeout
 	if d := f.orderDelay(); d > 0 {
+		f.disturb()
 		f.schedule(d, func() { f.deliverLate(o) })
 	} else {
 		outcome, answerAfter = h.execute(o), networkDelay
@@ -257,6 +261,7 @@
 		}
 		if f.now%100 == 0 {
 			f.send(plan.TickMsg{})
+			f.checkLiveness()
 		}
 	}
 }
--- a/core/plan/headroom.go
+++ b/core/plan/headroom.go
@@ -22,13 +22,12 @@
 )
 
 // reserveHeadroom takes the emptiest workers out of the snapshot for requests
-// that can wait, so that urgent jobs start without an eviction. It returns the
-// resources that it took.
-func (p *Planner) reserveHeadroom(s *snapshot) map[*worker]task.Resources {
-	headroom := make(map[*worker]task.Resources)
+// that can wait, so that urgent jobs start without an eviction.
+func (p *Planner) reserveHeadroom(s *snapshot) {
 	if p.lastUrgentAt == 0 || p.now.Monotonic-p.lastUrgentAt > headroomPeriod {
-		return headroom
+		return
 	}
+	headroom := make(map[*worker]task.Resources)
 	total := 0
 	for _, w := range s.workers {
 		total += w.capacity.Accelerators
@@ -46,7 +45,7 @@
 		headroom[w] = s.free[w]
 		s.free[w] = task.Resources{}
 	}
-	return headroom
+	s.kept = append(s.kept, &keep{resources: headroom})
 }
 
 // canWait reports whether a request leaves the headroom alone, because its job
@@ -61,18 +60,30 @@
 	return float64(r.deadline-p.now.Monotonic-criticalPath) > headroomSlack*float64(j.Objective(criticalPath))
 }
 
-// releaseHeadroom puts the headroom back for one request.
-func (s *snapshot) releaseHeadroom(headroom map[*worker]task.Resources) {
-	for w, free := range headroom {
-		s.free[w] = s.free[w].Plus(free)
-	}
+// keep is resources that are taken out of a snapshot for somebody: for the owner of a
+// reservation, or for urgent jobs to come.
+type keep struct {
+	resources   map[*worker]task.Resources
+	reservation *reservation // nil for urgent jobs to come
 }
 
-// retakeHeadroom takes the headroom out of the snapshot again.
-func (s *snapshot) retakeHeadroom(headroom map[*worker]task.Resources) {
-	for w := range headroom {
-		headroom[w] = s.free[w]
-		s.free[w] = task.Resources{}
+// with calls do while what is kept can be assigned. Afterwards it keeps what is left.
+func (s *snapshot) with(kept []*keep, do func()) {
+	limits := make([]map[*worker]task.Resources, len(kept))
+	for i, k := range kept {
+		limits[i] = make(map[*worker]task.Resources, len(k.resources))
+		for w, r := range k.resources {
+			limits[i][w] = s.free[w]
+			s.free[w] = s.free[w].Plus(r)
+		}
+	}
+	do()
+	for i := len(kept) - 1; i >= 0; i-- {
+		for w, limit := range limits[i] {
+			k := shortfall(s.free[w], limit)
+			kept[i].resources[w] = k
+			s.free[w] = s.free[w].Minus(k)
+		}
 	}
 }
 
--- a/core/plan/host_test.go
+++ b/core/plan/host_test.go
@@ -273,6 +273,7 @@
 
 // restart crashes a worker and brings it back with the same ID.
 func (h *host) restart() {
+	h.f.disturb()
 	for _, r := range h.runs {
 		h.f.countLoss(r)
 	}
--- a/core/plan/place.go
+++ b/core/plan/place.go
@@ -5,6 +5,7 @@
 
 	"gypsumcrank/core/clock"
 	"gypsumcrank/core/task"
+	"gypsumcrank/core/wide"
 )
 
 // snapshot is the capacity of all usable workers during one scheduling round.
@@ -16,10 +17,16 @@
 	racks    []string
 	byRack   map[string][]*worker
 	evicted  map[*unit]bool
+
+	kept          []*keep // taken out of free for others than the next request
+	reservedBy    map[*worker]*reservation
+	reservedShare map[string]float64         // share of each service that is reserved
+	releases      map[*worker][]wide.Release // expected ends, by worker
 }
 
 func (p *Planner) newSnapshot() *snapshot {
-	s := &snapshot{free: make(map[*worker]task.Resources), freeSoon: make(map[*worker]task.Resources), evicted: make(map[*unit]bool), byRack: make(map[string][]*worker)}
+	s := &snapshot{free: make(map[*worker]task.Resources), freeSoon: make(map[*worker]task.Resources), evicted: make(map[*unit]bool), byRack: make(map[string][]*worker),
+		reservedBy: make(map[*worker]*reservation), reservedShare: make(map[string]float64), releases: make(map[*worker][]wide.Release)}
 	racks := make(map[string]bool)
 	for _, w := range p.workers {
 		if !p.usable(w) {
@@ -298,57 +305,6 @@
 	return cost
 }
 
-// starvationWait is how long a request that may not evict waits before workers
-// are reserved for it.
-const starvationWait = 3 * clock.Second
-
-// reserveForStarved reserves, for the rest of the round, the workers that will
-// soonest have the resources for a request. Otherwise small requests behind it
-// would starve large ones.
-func (p *Planner) reserveForStarved(s *snapshot, r *request) {
-	if r.expired || p.now.Monotonic-r.waitingSince < starvationWait {
-		return
-	}
-	eligible, costs := p.eligibleWorkers(s, r.first())
-	for _, u := range r.units {
-		best := -1
-		for i, cost := range costs {
-			if best < 0 || cost < costs[best] {
-				best = i
-			}
-		}
-		if best < 0 {
-			return
-		}
-		w := eligible[best]
-		s.free[w] = s.free[w].Minus(u.need())
-		s.freeSoon[w] = s.freeSoon[w].Minus(u.need())
-		costs[best] = shortfallCost(s, w, u)
-	}
-}
-
-// shortfallCost returns what a worker lacks for a task, in cores. A worker on
-// the wrong rack costs more than any shortfall.
-func shortfallCost(s *snapshot, w *worker, u *unit) float64 {
-	cost := shortfall(u.need(), s.freeSoon[w]).Cores()
-	if u.step.DataRack != "" && w.rack != u.step.DataRack {
-		cost += crossRackCost
-	}
-	return cost
-}
-
-// eligibleWorkers returns the workers that could run a task once they have
-// enough free resources, with the shortfall cost of each.
-func (p *Planner) eligibleWorkers(s *snapshot, u *unit) (workers []*worker, costs []float64) {
-	for _, w := range s.workers {
-		if p.allowed(w, u) && u.need().Fits(w.capacity) {
-			workers = append(workers, w)
-			costs = append(costs, shortfallCost(s, w, u))
-		}
-	}
-	return workers, costs
-}
-
 // shortfall returns the part of need that exceeds have.
 func shortfall(need, have task.Resources) task.Resources {
 	d := need.Minus(have)
--- a/core/plan/sched.go
+++ b/core/plan/sched.go
@@ -38,26 +38,24 @@
 		occ  int
 	}
 	blocked := make(map[stepKey]bool) // steps of which a request could not be placed; the others are skipped
-	var headroom map[*worker]task.Resources
+	hasHeadroom, waits := false, false
+	p.dropReservations()
 	for _, r := range requests {
-		if r.priority() > 0 && headroom == nil {
-			headroom = p.reserveHeadroom(s)
+		if r.priority() > 0 && !hasHeadroom {
+			hasHeadroom = true
+			p.reserveHeadroom(s)
 		}
 		u := r.first()
 		key := stepKey{r.job().ID, u.name.Step, u.name.Occurrence}
 		if r.first().reservedOn == nil && blocked[key] {
 			continue
 		}
-		if p.place(s, r) {
+		if p.place(s, r) || p.placeOnKept(s, r) {
 			continue
 		}
-		if len(headroom) > 0 && !p.canWait(r) {
-			s.releaseHeadroom(headroom)
-			placed := p.place(s, r)
-			s.retakeHeadroom(headroom)
-			if placed {
-				continue
-			}
+		if !waits {
+			waits = true
+			p.logWait(s, r)
 		}
 		blocked[key] = true
 		if r.priority() == 0 {
@@ -66,7 +64,7 @@
 				blocked[key] = r.first().reservedOn == nil
 			}
 		} else {
-			p.reserveForStarved(s, r)
+			p.reserve(s, r)
 		}
 	}
 }
--- a/core/plan/unit.go
+++ b/core/plan/unit.go
@@ -50,6 +50,8 @@
 	resumed      bool                      // the run started from a checkpoint
 	crossRack    bool                      // the run is away from its data, or its gang spans racks
 	reservedOn   *worker                   // where resources are being freed for it
+	lent         bool                      // the run uses resources that are kept for another request
+	evictions    int                       // how often it was evicted
 	awaitedUntil clock.Millis              // when another request expects its resources, 0 if none does
 }
 
@@ -57,7 +59,7 @@
 func (u *unit) assign(w *worker, initial phase) {
 	u.placedOn = w
 	u.setPhase(initial)
-	u.startsSent, u.startInDoubt, u.answerSeq, u.orderSentAt, u.percent, u.confirmedAt, u.awaitedUntil = 0, false, 0, 0, 0, 0, 0
+	u.startsSent, u.startInDoubt, u.answerSeq, u.orderSentAt, u.percent, u.confirmedAt, u.awaitedUntil, u.lent = 0, false, 0, 0, 0, 0, 0, false
 	w.units[u] = true
 	w.byName[u.fullName] = u
 	w.used = w.used.Plus(u.need())
