Soak: no job stands in a calm state although it could run

From 4 s after the last disturbance, no accepted job may have nothing running for 3 s while its next task has capacity for it twice over and less than half of all accelerators are in use.

--- a/cmd/gypsumcrank/soak_test.go
+++ b/cmd/gypsumcrank/soak_test.go
@@ -10,6 +10,7 @@
 	"testing"
 	"time"
 
+	"gypsumcrank/core/task"
 	"gypsumcrank/internal/standin/plat"
 	"gypsumcrank/platform"
 )
@@ -83,14 +84,25 @@
 	faultEnds map[string]time.Time
 	faultAt   map[string]time.Time // when a front, or "store" for all, was last known to be disturbed
 	configs   []time.Time          // when each version of the configuration was acknowledged
+	steps     map[string]soakStep  // first step of each job
+	standing  map[string]time.Time // since when a job could run and does not
 }
 
+// soakStep is the first step of a job; the second has soakSecondStep single tasks that need
+// one accelerator each.
+type soakStep struct {
+	count, accelerators int
+	gang                bool
+}
+
+const soakSecondStep = 2
+
 func runSoak(t *testing.T, seed uint64) {
 	checker := plat.NewChecker()
 	s := &soak{
 		site: &site{dir: t.TempDir(), procs: map[string]*daemon{}, executors: map[string]*plat.Executor{}, checker: checker, proxy: true, proxies: map[string]*plat.Proxy{}},
 		t:    t, r: rand.New(rand.NewPCG(seed, 7)), accepted: map[string]bool{}, inDoubt: map[string]bool{}, cancelled: map[string]bool{},
-		refused: map[string]bool{}, faultEnds: map[string]time.Time{}, faultAt: map[string]time.Time{},
+		refused: map[string]bool{}, faultEnds: map[string]time.Time{}, faultAt: map[string]time.Time{}, steps: map[string]soakStep{}, standing: map[string]time.Time{},
 	}
 	defer s.close()
 	size := os.Getenv(soakSizeVar)
@@ -247,8 +259,10 @@
 // submitOne submits a new job once, at a random front, which may be faulty.
 func (s *soak) submitOne() {
 	id := fmt.Sprintf("%016x", s.r.Uint64())
-	body := fmt.Sprintf(`{"task_spec":"x","steps":[{"count":%d,"cpu":1000,"mem_mb":100,"gpu":%d,"estimate_ms":800,"gang":%v},{"count":2,"cpu":1000,"mem_mb":10,"gpu":1,"after":[0]}]}`,
-		1+s.r.IntN(4), []int{1, 2, 4, 8}[s.r.IntN(4)], s.r.IntN(2) == 0)
+	first := soakStep{1 + s.r.IntN(4), []int{1, 2, 4, 8}[s.r.IntN(4)], s.r.IntN(2) == 0}
+	s.steps[id] = first
+	body := fmt.Sprintf(`{"task_spec":"x","steps":[{"count":%d,"cpu":1000,"mem_mb":100,"gpu":%d,"estimate_ms":800,"gang":%v},{"count":%d,"cpu":1000,"mem_mb":10,"gpu":1,"after":[0]}]}`,
+		first.count, first.accelerators, first.gang, soakSecondStep)
 	front := s.fronts[s.r.IntN(len(s.fronts))]
 	switch status, _ := s.callAt(front, "POST", "/q/"+id, body); status {
 	case 200:
@@ -269,9 +283,84 @@
 	_, _ = s.call("DELETE", "/q/"+id, "")
 }
 
+// Limits of the liveness check.
+const (
+	soakCalm     = 4 * time.Second // after the last disturbance
+	soakStanding = 3 * time.Second // that a job may stand although it could run
+	// soakCapacity is the number of accelerators of an executor.
+	soakCapacity = 8
+)
+
+// awaitCalmRuns waits until all accepted jobs have run, once the state is calm, and checks
+// that none stands for soakStanding although its capacity is free twice over and less than
+// half of all is in use.
+func (s *soak) awaitCalmRuns() {
+	time.Sleep(soakCalm)
+	for end := time.Now().Add(time.Duration(soakEndTimeout * float64(time.Second))); time.Now().Before(end); time.Sleep(100 * time.Millisecond) {
+		free, used := map[string]int{}, 0
+		running, done := map[string]bool{}, map[string]int{}
+		for name, e := range s.executors {
+			free[name] = soakCapacity
+			for _, text := range e.Running() {
+				job, step := soakTask(text)
+				running[job] = true
+				n := 1
+				if step == 0 {
+					n = s.steps[job].accelerators
+				}
+				free[name] -= n
+				used += n
+			}
+			for text := range e.Done() {
+				job, step := soakTask(text)
+				done[fmt.Sprint(job, step)]++
+			}
+		}
+		waiting := false
+		for id := range s.accepted {
+			st := s.steps[id]
+			first := done[fmt.Sprint(id, 0)]
+			firstDone := first >= st.count || st.gang && first > 0
+			if s.cancelled[id] || firstDone && done[fmt.Sprint(id, 1)] >= soakSecondStep {
+				continue
+			}
+			waiting = true
+			need, copies := 1, 0
+			if !firstDone {
+				need = st.accelerators
+			}
+			for _, n := range free {
+				copies += n / need
+			}
+			wanted := 2
+			if !firstDone && st.gang {
+				wanted = 2 * st.count
+			}
+			if running[id] || copies < wanted || 2*used >= soakCapacity*len(s.executors) {
+				delete(s.standing, id)
+			} else if since, ok := s.standing[id]; !ok {
+				s.standing[id] = time.Now()
+			} else if time.Since(since) > soakStanding {
+				s.t.Errorf("%s could run and stands since %s; %d of %d accelerators are in use", id, time.Since(since), used, soakCapacity*len(s.executors))
+				return
+			}
+		}
+		if !waiting {
+			return
+		}
+	}
+}
+
+// soakTask returns the job and the step of a task.
+func soakTask(text string) (job string, step int) {
+	n, _ := task.ParseName(text) // the executor's orders have names from the planner
+	return n.Job, n.Step
+}
+
 // check checks that every accepted job completes unless it was cancelled, that no
 // refused job started, and that the checker saw no violation.
 func (s *soak) check(checker *plat.Checker) {
+	s.awaitCalmRuns()
 	for id := range s.accepted {
 		if s.cancelled[id] {
 			continue
