core/evict, core/plan: no more work is evicted than the request is worth

A request for which nothing may be evicted gets a reservation at once. TestUrgentJobsEvictNoMoreWorkThanTheyAreWorth.

Reservations are kept by step, so that the next task of a step inherits the place; requests that need less than a quarter of a worker get one only after 30 s; several may share a worker.

--- a/core/plan/booking.go
+++ b/core/plan/booking.go
@@ -6,10 +6,11 @@
 )
 
 // evictFor evicts the tasks that lose the least work for a request of priority
-// 0, and reserves their resources for it until all are free.
+// 0, and reserves their resources for it until all are free. It evicts nothing if that
+// loses more than the request is worth.
 func (p *Planner) evictFor(s *snapshot, r *request) {
 	best := p.cheapestEviction(s, r)
-	if best == nil {
+	if best == nil || !p.isWorth(r, best) {
 		return
 	}
 	for v := range best.awaited {
@@ -32,6 +33,7 @@
 	p.emit(Event{Kind: "room_booked", Job: r.job().ID, Detail: best.summary(r)})
 	for _, v := range sortedUnits(best.victims) {
 		p.emit(Event{Kind: "task_evicted", Job: v.job.ID, Task: v.fullName, Worker: v.placedOn.node, Run: v.run, Detail: "to free resources for " + r.job().ID})
+		v.evictions++
 		p.stop(v)
 	}
 }
@@ -118,6 +120,9 @@
 		u.awaitedUntil = 0
 		if u.phase == running && u.job.Priority > 0 && p.hasReservation(u.placedOn) {
 			p.emit(Event{Kind: "task_evicted", Job: u.job.ID, Task: u.fullName, Worker: u.placedOn.node, Run: u.run, Detail: "awaited task did not end in time"})
+			for _, m := range gangUnits(u) {
+				m.evictions++
+			}
 			p.stop(u)
 			p.stopGangPeers(u)
 		}
@@ -140,6 +145,17 @@
 	return false
 }
 
+// useGuaranteedBookings serves guaranteed requests for which resources are being freed before
+// all others. Otherwise a guaranteed request with an earlier deadline takes the resources,
+// is evicted for the owner of the booking and takes them again in the next round.
+func (p *Planner) useGuaranteedBookings(s *snapshot, requests []*request) {
+	for _, r := range requests {
+		if r.guaranteed && r.first().reservedOn != nil {
+			r.booked = p.place(s, r) || p.useReservation(s, r)
+		}
+	}
+}
+
 // useReservation keeps the resources that are reserved for a request, and
 // starts the request once all of them are free. It returns false if there is no
 // reservation, or if a reserved worker can't be used any more or will not have
--- a/core/plan/evict.go
+++ b/core/plan/evict.go
@@ -6,40 +6,56 @@
 	"strings"
 
 	"gypsumcrank/core/clock"
+	"gypsumcrank/core/evict"
 	"gypsumcrank/core/task"
 )
 
-// restoreLoss is what a checkpointing task loses when it is stopped: a stop
-// writes a checkpoint, so only the transfer and the restore are lost.
-const restoreLoss = 200 * clock.Millisecond
-
 // urgentLoss makes work of priority 0 the last to be evicted.
 const urgentLoss = 1e9
 
-// lostWork returns the work, in core-milliseconds, that is lost if a task is
-// stopped; for a gang, that of all members.
-func (p *Planner) lostWork(u *unit) float64 {
-	units := []*unit{u}
-	if u.gang != nil {
-		units = u.gang.members
-	}
-	sum := 0.0
-	for _, m := range units {
-		if m.phase != running {
-			continue
+// stoppedWith returns the runs that are lost if a task is stopped: its own, or those of all
+// members of its gang.
+func (p *Planner) stoppedWith(u *unit) []evict.Run {
+	var out []evict.Run
+	for _, m := range gangUnits(u) {
+		if m.phase == running {
+			out = append(out, evict.Run{Ran: p.now.Monotonic - m.confirmedAt, Cores: m.step.Need.Cores(), Checkpoints: m.step.Checkpoints, Evictions: m.evictions})
 		}
-		lost := p.now.Monotonic - m.confirmedAt
-		if m.step.Checkpoints {
-			lost = min(lost, restoreLoss)
-		}
-		sum += float64(lost) * m.step.Need.Cores()
 	}
+	return out
+}
+
+// evictionCost returns what it costs to stop a task, in core-milliseconds of lost work.
+func (p *Planner) evictionCost(u *unit) float64 {
+	cost := evict.Cost(p.stoppedWith(u))
 	if u.job.Priority == 0 {
-		sum += urgentLoss
+		cost += urgentLoss
+	}
+	return cost
+}
+
+// lostWork returns the work that an eviction plan destroys, in core-milliseconds. That of a
+// stalled worker does not count, as nothing shows that it would be completed.
+func (p *Planner) lostWork(e *evictionPlan) float64 {
+	sum := 0.0
+	for v := range e.victims {
+		if v.phase == running && !v.placedOn.stalled {
+			sum += evict.Loss([]evict.Run{{Ran: p.now.Monotonic - v.confirmedAt, Cores: v.step.Need.Cores(), Checkpoints: v.step.Checkpoints}})
+		}
 	}
 	return sum
 }
 
+// isWorth reports whether a request can still earn the work that an eviction plan destroys.
+func (p *Planner) isWorth(r *request, e *evictionPlan) bool {
+	length := p.expectedDuration(r.job(), r.first().name.Step)
+	q := evict.Request{Length: length, Deadline: r.deadline, Expiry: r.expiry, Guaranteed: r.guaranteed}
+	for _, u := range r.units {
+		q.Work += float64(length) * u.step.Need.Cores()
+	}
+	return p.lostWork(e) <= q.Budget(p.now.Monotonic)
+}
+
 // evictable reports whether a task may be evicted for a request. A task of
 // priority 0 may be evicted only for a guaranteed request whose job has not
 // started.
@@ -188,7 +204,7 @@
 	losses := make(map[*unit]float64, len(candidates))
 	for _, v := range candidates {
 		if !p.endsWithin(v, e.wait) {
-			losses[v] = p.lostWork(v)
+			losses[v] = p.evictionCost(v)
 		}
 	}
 	sort.Slice(candidates, func(i, j int) bool {
--- a/core/plan/headroom.go
+++ b/core/plan/headroom.go
@@ -81,6 +81,9 @@
 	for i := len(kept) - 1; i >= 0; i-- {
 		for w, limit := range limits[i] {
 			k := shortfall(s.free[w], limit)
+			if kept[i].reservation != nil {
+				s.withheld[w] = s.withheld[w].Minus(kept[i].resources[w]).Plus(k)
+			}
 			kept[i].resources[w] = k
 			s.free[w] = s.free[w].Minus(k)
 		}
--- a/core/plan/load_test.go
+++ b/core/plan/load_test.go
@@ -254,3 +254,39 @@
 	f.finish(10_000)
 	qt.Check(t, f.records["swatch"].Tasks[0].Run, qt.Equals, 1)
 }
+
+// Short urgent jobs beside long gangs evict no more work than they are worth: a task of a
+// second stopped a gang of 12 workers again and again (found in trouble-1 of the grown
+// sanad-hq: a gang of 12 was evicted twice and never completed). Guaranteed jobs start in
+// time whatever that costs.
+func TestUrgentJobsEvictNoMoreWorkThanTheyAreWorth(t *testing.T) {
+	for _, guaranteed := range []bool{false, true} {
+		t.Run(fmt.Sprint("guaranteed ", guaranteed), func(t *testing.T) {
+			f := newFleet(t, 24, 12, formsResources)
+			f.config.Accounts["acme"] = route.Account{Name: "acme", Accelerators: 8}
+			for i := range 2 {
+				f.submit(&task.Job{ID: fmt.Sprint("bundle", i), Priority: 1, Stretch: 3, Target: 1000, Steps: []task.Step{
+					{Count: 12, Estimate: 11_000, Gang: true, SameRack: true, Need: task.Resources{MilliCPU: 13000, MemoryMB: 34000, Accelerators: 8}},
+				}})
+			}
+			f.run(6000)
+			c := qt.New(t)
+			for i := range 4 {
+				f.run(1000)
+				j := urgentJob(fmt.Sprint("draft", i), 1, 4, 1000)
+				if guaranteed {
+					j.Account = "acme"
+				}
+				f.submit(j)
+				if guaranteed {
+					f.run(plan.DefaultSettings().ReclaimLimit)
+					c.Check(f.started(j.ID), qt.IsTrue)
+				}
+			}
+			f.finish(60_000)
+			work := 4.0 * (15 + 4*8)
+			t.Logf("lost %.0f core-seconds for %.0f", f.lostWork/1000, work)
+			c.Check(guaranteed || f.lostWork/1000 <= 3*work, qt.IsTrue, qt.Commentf("lost %.0f core-seconds for %.0f", f.lostWork/1000, work))
+		})
+	}
+}
--- a/core/plan/place.go
+++ b/core/plan/place.go
@@ -18,15 +18,16 @@
 	byRack   map[string][]*worker
 	evicted  map[*unit]bool
 
-	kept          []*keep // taken out of free for others than the next request
-	reservedBy    map[*worker]*reservation
+	kept          []*keep                    // taken out of free for others than the next request
+	reserved      map[*worker]task.Resources // for requests that wait
+	withheld      map[*worker]task.Resources // taken out of free for them
 	reservedShare map[string]float64         // share of each service that is reserved
 	releases      map[*worker][]wide.Release // expected ends, by worker
 }
 
 func (p *Planner) newSnapshot() *snapshot {
 	s := &snapshot{free: make(map[*worker]task.Resources), freeSoon: make(map[*worker]task.Resources), evicted: make(map[*unit]bool), byRack: make(map[string][]*worker),
-		reservedBy: make(map[*worker]*reservation), reservedShare: make(map[string]float64), releases: make(map[*worker][]wide.Release)}
+		reserved: make(map[*worker]task.Resources), withheld: make(map[*worker]task.Resources), reservedShare: make(map[string]float64), releases: make(map[*worker][]wide.Release)}
 	racks := make(map[string]bool)
 	for _, w := range p.workers {
 		if !p.usable(w) {
@@ -137,6 +138,7 @@
 		crossRack = crossRack || r.first().step.SameRack && w.rack != targets[0].rack
 	}
 	s.allocate(r, targets)
+	delete(p.reservations, r.key())
 	for i, u := range r.units {
 		u.reservedOn = nil
 		p.recordStart(u, targets[i], run+1)
--- a/core/plan/plan.go
+++ b/core/plan/plan.go
@@ -58,7 +58,7 @@
 	dirty         []*job                    // jobs whose record is out of date, the first to be written first
 	lastUrgentAt  clock.Millis              // when the last job of priority 0 was added
 	lastScheduled clock.Millis              // when schedule last ran
-	reservations  map[*unit]*reservation    // by the first task of the request
+	reservations  map[stepKey]*reservation  // of requests that wait for long
 	waitLoggedAt  clock.Millis              // when the log last said why a request waits
 	totals        map[string]task.Resources // resources of all workers by service, cached for one scheduling round
 	changed       bool                      // a placement that failed before may succeed now
@@ -130,7 +130,7 @@
 	p.durations = make(map[string]*durationStats)
 	p.totals = make(map[string]task.Resources)
 	p.awaited = make(map[*unit]bool)
-	p.reservations = make(map[*unit]*reservation)
+	p.reservations = make(map[stepKey]*reservation)
 }
 
 func (p *Planner) emit(e Event) { p.effects.Events = append(p.effects.Events, e) }
--- a/core/plan/reserve.go
+++ b/core/plan/reserve.go
@@ -11,11 +11,14 @@
 )
 
 const (
-	// starvationWait is how long a request that may not evict waits before resources
+	// starvationWait is how long a request of priority 1 or more waits before resources
 	// are kept for it.
 	starvationWait = 3 * clock.Second
-	// expiredWait is the same for a request whose job is worth nothing any more.
-	expiredWait = 30 * clock.Second
+	// longStarvationWait is the same for a request that needs little of a worker or whose
+	// job is worth nothing any more.
+	longStarvationWait = 30 * clock.Second
+	// narrowShare is the share of a worker up to which a task needs little of it.
+	narrowShare = 0.25
 	// reservedShare is the largest share of a service that all reservations may hold; the
 	// first one may be larger.
 	reservedShare = 0.5
@@ -34,16 +37,42 @@
 	place    map[*worker]int // tasks on each worker; empty while the reservation is not in force
 	start    clock.Millis    // expected
 	misses   int             // how often start has passed
+	seenAt   clock.Millis    // when its owner last waited
 	loggedAt clock.Millis
 }
 
+// stepKey identifies one step of one occurrence of a job.
+type stepKey struct {
+	job              string
+	occurrence, step int
+}
+
+func (r *request) key() stepKey {
+	n := r.first().name
+	return stepKey{n.Job, n.Occurrence, n.Step}
+}
+
 // dropReservations forgets the reservations of requests that no longer wait.
 func (p *Planner) dropReservations() {
-	for u := range p.reservations {
-		if u.phase != idle || u.done || u.job.state.Ended() {
-			delete(p.reservations, u)
+	for key, v := range p.reservations {
+		if p.now.Monotonic-v.seenAt > 2*rescheduleInterval {
+			delete(p.reservations, key)
+		}
+	}
+}
+
+// isNarrow reports whether a request needs so little of a worker that the end of almost any
+// task lets it start.
+func (p *Planner) isNarrow(s *snapshot, r *request) bool {
+	if len(r.units) > 1 {
+		return false
+	}
+	for _, w := range s.workers {
+		if w.service == r.job().Service && wide.Share(r.first().need(), w.capacity) > narrowShare {
+			return false
 		}
 	}
+	return true
 }
 
 // reserve keeps resources for a request that has waited for long, from its position in
@@ -51,17 +80,20 @@
 func (p *Planner) reserve(s *snapshot, r *request) {
 	u := r.first()
 	least := starvationWait
-	if r.expired {
-		least = expiredWait
+	if r.priority() == 0 && !r.expired {
+		least = 0 // as nothing more may be evicted for it
+	} else if r.expired || p.isNarrow(s, r) {
+		least = longStarvationWait
 	}
 	if p.now.Monotonic-r.waitingSince < least {
 		return
 	}
-	v := p.reservations[u]
+	v := p.reservations[r.key()]
 	if v == nil {
 		v = &reservation{job: r.job().ID}
-		p.reservations[u] = v
+		p.reservations[r.key()] = v
 	}
+	v.seenAt = p.now.Monotonic
 	var need task.Resources
 	for range r.units {
 		need = need.Plus(u.need())
@@ -127,11 +159,11 @@
 }
 
 // models returns the workers that may be reserved for a request, and what package wide
-// has to know of them. A worker is reserved for one request at a time.
+// has to know of them.
 func (p *Planner) models(s *snapshot, r *request, among func(*worker) bool) (workers []*worker, models []wide.Worker) {
 	u := r.first()
 	for _, w := range s.workers {
-		if !among(w) || s.reservedBy[w] != nil || !p.allowed(w, u) || !u.need().Fits(w.capacity) {
+		if !among(w) || !p.allowed(w, u) || !u.need().Fits(w.capacity) {
 			continue
 		}
 		limit := 0
@@ -139,7 +171,7 @@
 			limit++
 		}
 		workers = append(workers, w)
-		models = append(models, wide.Worker{Rack: w.rack, Free: s.free[w], Limit: limit, Releases: p.releases(s, w)})
+		models = append(models, wide.Worker{Rack: w.rack, Free: s.unreserved(w), Limit: limit, Releases: p.releases(s, w)})
 	}
 	return workers, models
 }
@@ -180,13 +212,22 @@
 	k := &keep{resources: make(map[*worker]task.Resources), reservation: v}
 	q := wide.Request{Need: r.first().need(), Count: len(r.units)}
 	for w, n := range v.place {
-		s.reservedBy[w] = v
-		k.resources[w] = q.Withheld(wide.Worker{Free: s.free[w], Releases: p.releases(s, w)}, n, v.start)
+		left := q.Left(wide.Worker{Free: s.unreserved(w), Releases: p.releases(s, w)}, n, v.start)
+		k.resources[w] = shortfall(s.free[w], shortfall(left, task.Resources{}))
 		s.free[w] = s.free[w].Minus(k.resources[w])
+		s.withheld[w] = s.withheld[w].Plus(k.resources[w])
+		for range n {
+			s.reserved[w] = s.reserved[w].Plus(q.Need)
+		}
 	}
 	s.kept = append(s.kept, k)
 }
 
+// unreserved returns what is free on a worker less what is reserved there.
+func (s *snapshot) unreserved(w *worker) task.Resources {
+	return s.free[w].Plus(s.withheld[w]).Minus(s.reserved[w])
+}
+
 // reclaimLent stops tasks that run on lent resources once they are all that a request
 // waits for.
 func (p *Planner) reclaimLent(s *snapshot, r *request, v *reservation) {
@@ -254,7 +295,7 @@
 		return false
 	}
 	for _, u := range r.units {
-		u.lent = u.cheapToStop() && s.reservedBy[u.placedOn] != nil
+		u.lent = u.cheapToStop() && s.reserved[u.placedOn] != (task.Resources{})
 	}
 	return true
 }
--- a/core/plan/sched.go
+++ b/core/plan/sched.go
@@ -16,6 +16,7 @@
 	expiry       clock.Millis // monotonic time after which its job is worth nothing
 	expired      bool         // expiry has passed
 	guaranteed   bool         // within its account's guarantee
+	booked       bool         // it was placed, or its booking kept, ahead of its turn
 }
 
 func (r *request) job() *job     { return r.units[0].job }
@@ -32,21 +33,19 @@
 	s := p.newSnapshot()
 	p.markGuaranteed(requests)
 	sort.SliceStable(requests, func(i, j int) bool { return requests[i].before(requests[j]) })
-	type stepKey struct {
-		job  string
-		step int
-		occ  int
-	}
 	blocked := make(map[stepKey]bool) // steps of which a request could not be placed; the others are skipped
 	hasHeadroom, waits := false, false
 	p.dropReservations()
+	p.useGuaranteedBookings(s, requests)
 	for _, r := range requests {
+		if r.booked {
+			continue
+		}
 		if r.priority() > 0 && !hasHeadroom {
 			hasHeadroom = true
 			p.reserveHeadroom(s)
 		}
-		u := r.first()
-		key := stepKey{r.job().ID, u.name.Step, u.name.Occurrence}
+		key := r.key()
 		if r.first().reservedOn == nil && blocked[key] {
 			continue
 		}
@@ -63,7 +62,8 @@
 				p.evictFor(s, r)
 				blocked[key] = r.first().reservedOn == nil
 			}
-		} else {
+		}
+		if r.first().reservedOn == nil {
 			p.reserve(s, r)
 		}
 	}
--- a/core/wide/wide.go
+++ b/core/wide/wide.go
@@ -22,9 +22,9 @@
 // Worker is a worker that can run tasks of a request.
 type Worker struct {
 	Rack     string
-	Free     task.Resources
-	Limit    int       // most tasks of the request that it may run
-	Releases []Release // those that have an expected time
+	Free     task.Resources // less what is reserved for others, so it may be negative
+	Limit    int            // most tasks of the request that it may run
+	Releases []Release      // those that have an expected time
 }
 
 // Request is a number of equal tasks that start together.
@@ -151,29 +151,19 @@
 	return start, true
 }
 
-// Withheld returns the free resources of a worker that only work which is gone by start
-// may use, so that tasks tasks of the request fit then.
-func (r Request) Withheld(w Worker, tasks int, start clock.Millis) task.Resources {
-	then := w.Free
+// Left returns what is free on a worker, or will be by start, beyond the tasks of the
+// request: what work that outlasts start may use. It may be negative.
+func (r Request) Left(w Worker, tasks int, start clock.Millis) task.Resources {
+	left := w.Free
 	for _, e := range w.Releases {
 		if e.At <= start {
-			then = then.Plus(e.Need)
+			left = left.Plus(e.Need)
 		}
 	}
 	for range tasks {
-		then = then.Minus(r.Need)
-	}
-	// A task that outlasts start may take what is free now and not needed then.
-	return w.Free.Minus(atMost(w.Free, then))
-}
-
-// atMost returns the smaller of each resource, but at least nothing.
-func atMost(a, b task.Resources) task.Resources {
-	return task.Resources{
-		MilliCPU:     max(0, min(a.MilliCPU, b.MilliCPU)),
-		MemoryMB:     max(0, min(a.MemoryMB, b.MemoryMB)),
-		Accelerators: max(0, min(a.Accelerators, b.Accelerators)),
+		left = left.Minus(r.Need)
 	}
+	return left
 }
 
 // Share returns the largest share that resources have of a total.
--- a/core/wide/wide_test.go
+++ b/core/wide/wide_test.go
@@ -79,11 +79,11 @@
 
 // Of a worker that the request needs whole, nothing is left to work that outlasts its
 // start; of one that it needs in part, the rest is.
-func TestWithheld(t *testing.T) {
+func TestLeft(t *testing.T) {
 	c := qt.New(t)
 	w := fleet(4000)[0] // 2 free, 6 more at 4 s
 	r := wide.Request{Need: accelerators(4), Count: 2}
-	c.Check(r.Withheld(w, 2, 4000), qt.Equals, accelerators(2))
-	c.Check(r.Withheld(w, 1, 4000), qt.Equals, accelerators(0))
-	c.Check(r.Withheld(w, 1, 3999), qt.Equals, accelerators(2))
+	c.Check(r.Left(w, 2, 4000), qt.Equals, accelerators(0))
+	c.Check(r.Left(w, 1, 4000), qt.Equals, accelerators(4))
+	c.Check(r.Left(w, 1, 3999), qt.Equals, accelerators(-2))
 }
