--- a/core/plan/fleet_test.go
+++ b/core/plan/fleet_test.go
@@ -48,6 +48,8 @@
 	closeDelay       clock.Millis            // how long after that starts are allowed there
 	operatorSilent   bool                    // the planner hears nothing about data centres
 	events           map[string]int          // events of the planners, by kind
+	disturbedAt      clock.Millis            // when something was last disturbed
+	standingSince    map[string]clock.Millis // since when a job could start and does not, by job
 	evicted          int
 	lostWork         float64 // core-milliseconds of work that were stopped and not saved
 }
@@ -66,7 +68,7 @@
 func newFleet(t *testing.T, hosts, perRack int, resources task.Resources) *fleet {
 	f := &fleet{
 		t: t, now: 1_000_000, storeDelay: 8, jobs: map[string]*task.Job{}, cancels: map[string]bool{},
-		records: map[string]*task.Progress{}, revs: map[string]int64{}, completed: map[string]bool{}, acknowledged: map[string]bool{}, finishedAt: map[string]clock.Millis{}, checkpoints: map[string]bool{},
+		records: map[string]*task.Progress{}, revs: map[string]int64{}, completed: map[string]bool{}, acknowledged: map[string]bool{}, finishedAt: map[string]clock.Millis{}, standingSince: map[string]clock.Millis{}, checkpoints: map[string]bool{},
 		closedAt: map[string]clock.Millis{}, events: map[string]int{},
 	}
 	f.config = (&route.Config{Version: 1, Accounts: map[string]route.Account{}}).Prepare()
@@ -94,6 +96,7 @@
 // takeOver starts a new planner from what the store holds.
 func (f *fleet) takeOver() {
 	f.rev++
+	f.disturb()
 	f.epoch = f.rev
 	f.planner = f.newPlanner(f.epoch)
 	f.sendClosed()
@@ -223,6 +226,7 @@
 	if h.down {
 		outcome, answerAfter = plan.Refused, networkDelay
 	} else if d := f.orderDelay(); d > 0 {
+		f.disturb()
 		f.schedule(d, func() { f.deliverLate(o) })
 	} else if got := h.execute(o); !h.mute {
 		outcome, answerAfter = got, networkDelay
@@ -278,6 +282,7 @@
 		if f.now%100 == 0 {
 			f.sendClosed()
 			f.send(plan.TickMsg{})
+			f.checkLiveness()
 		}
 	}
 }
--- a/core/plan/leave.go
+++ b/core/plan/leave.go
@@ -124,7 +124,7 @@
 type placesElsewhere struct {
 	p        *Planner
 	snapshot *snapshot
-	headroom map[*worker]task.Resources
+	headroom bool          // urgent jobs to come have their resources
 	blocked  map[*job]bool // jobs of which a task found no place
 }
 
@@ -139,25 +139,28 @@
 	}
 	s, r := e.snapshot, e.p.newRequest(gangUnits(u))
 	r.waitingSince = e.p.now.Monotonic // it has not waited for its rack yet
-	if r.priority() > 0 && e.headroom == nil {
-		e.headroom = e.p.reserveHeadroom(s)
+	if r.priority() > 0 && !e.headroom {
+		e.headroom = true
+		e.p.reserveHeadroom(s)
 	}
 	returned := s.returnResources(r)
-	c, ok := e.p.choose(s, r)
-	if !ok && len(e.headroom) > 0 && !e.p.canWait(r) {
-		s.releaseHeadroom(e.headroom)
-		c, ok = e.p.choose(s, r)
-		defer s.retakeHeadroom(e.headroom)
+	found := false
+	take := func() {
+		var c placement
+		if c, found = e.p.choose(s, r); found {
+			s.allocate(r, c.targets)
+		}
+	}
+	if take(); !found && len(s.kept) > 0 && !e.p.canWait(r) {
+		s.with(s.kept, take)
 	}
-	if !ok {
+	if !found {
 		for w, n := range returned {
 			s.free[w] = s.free[w].Minus(n)
 		}
 		e.blocked[u.job] = true
-		return false
 	}
-	s.allocate(r, c.targets)
-	return true
+	return found
 }
 
 // returnResources adds what the tasks of a request use on usable workers to the
--- a/core/plan/sched.go
+++ b/core/plan/sched.go
@@ -16,6 +16,7 @@
 	expiry       clock.Millis // monotonic time after which its job is worth nothing
 	expired      bool         // expiry has passed
 	guaranteed   bool         // within its account's guarantee
+	booked       bool         // it was placed, or its booking kept, ahead of its turn
 }
 
 func (r *request) job() *job     { return r.units[0].job }
@@ -32,32 +33,28 @@
 	s := p.newSnapshot()
 	p.markGuaranteed(requests)
 	sort.SliceStable(requests, func(i, j int) bool { return requests[i].before(requests[j]) })
-	type stepKey struct {
-		job  string
-		step int
-		occ  int
-	}
 	blocked := make(map[stepKey]bool) // steps of which a request could not be placed; the others are skipped
-	var headroom map[*worker]task.Resources
+	hasHeadroom, waits := false, false
+	p.dropReservations()
+	p.useGuaranteedBookings(s, requests)
 	for _, r := range requests {
-		if r.priority() > 0 && headroom == nil {
-			headroom = p.reserveHeadroom(s)
+		if r.booked {
+			continue
+		}
+		if r.priority() > 0 && !hasHeadroom {
+			hasHeadroom = true
+			p.reserveHeadroom(s)
 		}
-		u := r.first()
-		key := stepKey{r.job().ID, u.name.Step, u.name.Occurrence}
+		key := r.key()
 		if r.first().reservedOn == nil && blocked[key] {
 			continue
 		}
-		if p.place(s, r) {
+		if p.place(s, r) || p.placeOnKept(s, r) {
 			continue
 		}
-		if len(headroom) > 0 && !p.canWait(r) {
-			s.releaseHeadroom(headroom)
-			placed := p.place(s, r)
-			s.retakeHeadroom(headroom)
-			if placed {
-				continue
-			}
+		if !waits {
+			waits = true
+			p.logWait(s, r)
 		}
 		blocked[key] = true
 		p.reportClosedWait(r)
@@ -66,8 +63,9 @@
 				p.evictFor(s, r)
 				blocked[key] = r.first().reservedOn == nil
 			}
-		} else {
-			p.reserveForStarved(s, r)
+		}
+		if r.first().reservedOn == nil {
+			p.reserve(s, r)
 		}
 	}
 }
