Fair order: a flood of one account delays that account

Change: core/fair ranks the requests of one priority. Accounts whose demand, used and waited for, is over three times their share of a service that is short, and which together make up most of that demand, go after the others. The oldest request goes first once it has waited 30 s, one at a time, so none starves.

--- a/core/plan/plan.go
+++ b/core/plan/plan.go
@@ -12,6 +12,7 @@
 	"fmt"
 
 	"gypsumcrank/core/clock"
+	"gypsumcrank/core/fair"
 	"gypsumcrank/core/route"
 	"gypsumcrank/core/task"
 )
@@ -56,6 +57,8 @@
 	seq           int                       // number of the last write
 	awaited       map[*unit]bool            // tasks whose end a reservation relies on
 	dirty         []*job                    // jobs whose record is out of date, the first to be written first
+	demand        *fair.Ledger              // what the accounts use and wait for
+	demandAt      clock.Millis              // when demand was last updated
 	lastUrgentAt  clock.Millis              // when the last job of priority 0 was added
 	lastScheduled clock.Millis              // when schedule last ran
 	totals        map[string]task.Resources // resources of all workers by service, cached for one scheduling round
@@ -128,6 +131,7 @@
 	p.durations = make(map[string]*durationStats)
 	p.totals = make(map[string]task.Resources)
 	p.awaited = make(map[*unit]bool)
+	p.demand = &fair.Ledger{HalfLife: fair.DefaultHalfLife}
 }
 
 func (p *Planner) emit(e Event) { p.effects.Events = append(p.effects.Events, e) }
--- a/core/plan/replay_test.go
+++ b/core/plan/replay_test.go
@@ -34,6 +34,18 @@
 // replayLoad replays a load until all its jobs have ended, but for at most two
 // minutes after the last event.
 func replayLoad(t *testing.T, events []load.Event, newPlanner func(epoch int64) planner) load.Report {
+	r := replay(t, events, newPlanner)
+	report := load.Evaluate(events, r.outcomes)
+	report.LostWork, report.Stranded = r.lostWork/1000, r.idleShare/float64(max(1, r.samples))
+	return report
+}
+
+// replayOutcomes replays a load under the planner and returns its jobs' outcomes.
+func replayOutcomes(t *testing.T, events []load.Event) map[string]load.Outcome {
+	return replay(t, events, nil).outcomes
+}
+
+func replay(t *testing.T, events []load.Event, newPlanner func(epoch int64) planner) *replayed {
 	f := newFleet(t, 0, 1, workerResources)
 	if newPlanner != nil {
 		f.newPlanner = newPlanner
@@ -65,9 +77,7 @@
 	f.run(500)
 	r.start = f.now
 	r.play()
-	report := load.Evaluate(events, r.outcomes)
-	report.LostWork, report.Stranded = f.lostWork/1000, r.idleShare/float64(max(1, r.samples))
-	return report
+	return r
 }
 
 // failsAtEnd makes the first runs of a job's tasks, or of its gangs, fail.
--- a/core/plan/sched.go
+++ b/core/plan/sched.go
@@ -4,6 +4,7 @@
 	"sort"
 
 	"gypsumcrank/core/clock"
+	"gypsumcrank/core/fair"
 	"gypsumcrank/core/task"
 )
 
@@ -16,6 +17,7 @@
 	expiry       clock.Millis // monotonic time after which its job is worth nothing
 	expired      bool         // expiry has passed
 	guaranteed   bool         // within its account's guarantee
+	rank         fair.Rank    // among the requests of its priority
 }
 
 func (r *request) job() *job     { return r.units[0].job }
@@ -26,11 +28,13 @@
 // requests of priority 0 that can't be placed.
 func (p *Planner) schedule() {
 	requests := p.pendingRequests()
+	p.recordDemand(requests)
 	if len(requests) == 0 {
 		return
 	}
 	s := p.newSnapshot()
 	p.markGuaranteed(requests)
+	p.rankFairly(requests)
 	sort.SliceStable(requests, func(i, j int) bool { return requests[i].before(requests[j]) })
 	type stepKey struct {
 		job  string
@@ -203,7 +207,9 @@
 }
 
 // before reports whether r is scheduled before o: by priority, then guaranteed
-// requests, then jobs that have not expired, then by deadline and by name.
+// requests, then jobs that have not expired, then by rank, deadline and name. A
+// request that has aged goes before the others of its priority but the guaranteed
+// ones, even if its job has expired.
 func (r *request) before(o *request) bool {
 	if r.priority() != o.priority() {
 		return r.priority() < o.priority()
@@ -211,9 +217,15 @@
 	if r.guaranteed != o.guaranteed {
 		return r.guaranteed
 	}
+	if (r.rank == fair.Aged) != (o.rank == fair.Aged) {
+		return r.rank == fair.Aged
+	}
 	if r.expired != o.expired {
 		return !r.expired
 	}
+	if r.rank != o.rank {
+		return r.rank < o.rank
+	}
 	if r.deadline != o.deadline {
 		return r.deadline < o.deadline
 	}
--- a/internal/traces/loads.go
+++ b/internal/traces/loads.go
@@ -22,6 +22,7 @@
 	"slow_workers":   slowWorkers,
 	"still_workers":  stalledWorkers,
 	"cancel_wave":    cancelJobs,
+	"account_flood":  floodOfOneAccount,
 }
 
 // loadBuilder builds one load.
@@ -29,6 +30,9 @@
 	rng    *rand.Rand
 	events []load.Event
 	n      int
+	// accounts is the number of client accounts, equal ones without a guarantee; 0 means
+	// the current ones.
+	accounts int
 }
 
 // Arrival rates of the current traffic, in jobs per second.
@@ -47,11 +51,21 @@
 		q.Kind = load.Queue
 		b.events = append(b.events, q)
 	}
-	for i, n := range []int{22, 14, 10, 8} {
+	for i := range b.accounts {
+		b.events = append(b.events, load.Event{Kind: load.Account, Name: fmt.Sprint("a", i)})
+	}
+	if b.accounts > 0 {
+		return
+	}
+	for i, n := range currentGuarantees {
 		b.events = append(b.events, load.Event{Kind: load.Account, Name: fmt.Sprint("a", i), Accelerators: n})
 	}
 }
 
+// currentGuarantees are the guarantees of the current client accounts, in
+// accelerators.
+var currentGuarantees = []int{22, 14, 10, 8}
+
 // taskCount draws a number of tasks from a log-normal distribution with the given
 // mean, at least 1 and at most limit.
 func (b *loadBuilder) taskCount(mean float64, limit int) int {
@@ -76,7 +90,11 @@
 // submit adds the submission of a job whose tasks all have the same run time.
 func (b *loadBuilder) submit(at clock.Millis, queue string, priority int, runTime clock.Millis, steps ...task.Step) *load.Event {
 	b.n++
-	j := &task.Job{ID: fmt.Sprintf("j%04d", b.n), Queue: queue, Account: fmt.Sprint("a", b.rng.IntN(4)), Priority: priority, Attempts: 3, Stretch: 3, Target: 1000, Steps: steps}
+	accounts := b.accounts
+	if accounts == 0 {
+		accounts = len(currentGuarantees)
+	}
+	j := &task.Job{ID: fmt.Sprintf("j%04d", b.n), Queue: queue, Account: fmt.Sprint("a", b.rng.IntN(accounts)), Priority: priority, Attempts: 3, Stretch: 3, Target: 1000, Steps: steps}
 	switch queue {
 	case "swatch":
 		j.Stretch, j.Target = 1.5, 250
@@ -238,3 +256,21 @@
 		}
 	}
 }
+
+// floodOfOneAccount makes the last of ten equal accounts submit for 30 s several
+// times what all accounts submit together, besides its usual work. The IDs of these
+// jobs begin with "flood".
+func floodOfOneAccount(b *loadBuilder) {
+	b.accounts = 10
+	b.mix(0, clock.Minute, 0.7)
+	flood := func(job func(clock.Millis) *load.Event) func(clock.Millis) *load.Event {
+		return func(at clock.Millis) *load.Event {
+			e := job(at)
+			e.Job.ID, e.Job.Account = "flood"+e.Job.ID, "a9"
+			return e
+		}
+	}
+	b.stream(10*clock.Second, 40*clock.Second, 4*swatchRate, flood(b.swatch))
+	b.stream(10*clock.Second, 40*clock.Second, 4*matchRate, flood(b.match))
+	b.stream(10*clock.Second, 40*clock.Second, 4*indexRate, flood(b.index))
+}
