Turning away: the planner's forecast, and the few jobs that are refused by it

Cause: a job that no worker can hold, or whose turn comes only after its result is of no use, was accepted and waited; its caller learned nothing. Change: the planner publishes every 2 s, over the connections between fronts (frame field 12), what its workers have and the work of each priority that is not done (core/admit). A front refuses, before the write, what fits no worker and what more urgent work alone delays beyond three times its objective, both with a true not_run; a job that an earlier call has stored is accepted. A forecast that is older than 5 s, late on its way or of another planner accepts everything.

--- a/cmd/gypsumcrank/front.go
+++ b/cmd/gypsumcrank/front.go
@@ -7,11 +7,13 @@
 	"sync/atomic"
 	"time"
 
+	"gypsumcrank/core/admit"
 	"gypsumcrank/core/clock"
 	"gypsumcrank/core/fault"
 	"gypsumcrank/core/kern"
 	"gypsumcrank/core/plan"
 	"gypsumcrank/core/route"
+	"gypsumcrank/core/task"
 	"gypsumcrank/io/front"
 	"gypsumcrank/io/httpd"
 	"gypsumcrank/io/link"
@@ -40,6 +42,7 @@
 	steer        *steer.Coordinator
 	ingress      *platform.Ingress
 	seeds        atomic.Pointer[[]string] // addresses of possible other fronts, from the settings
+	desk         admit.Desk               // decides with the planner's forecast
 	leaving      atomic.Bool
 	metricsAddr  string // address where metrics are served; none if empty
 	announced    string // address at which other processes reach this front
@@ -60,11 +63,14 @@
 	d.config.Freshness = d.configMirror.Freshness
 	d.steer = &steer.Coordinator{
 		Node: settings.Node, Addr: settings.Link, Announce: d.announced, Store: d.store, Mirror: d.jobMirror, Index: d.index, Config: d.config, Plan: planSettings(settings), LeaseMin: settings.LeaseMin, Log: log,
-		ServePeer: func(c *link.Conn, first link.Frame) { relay.Serve(c, direct, d.jobMirror.ExpectRevision, first) },
-		OnJobEnd:  d.notifyFronts,
+		ServePeer: func(c *link.Conn, first link.Frame) {
+			relay.Serve(c, direct, d.jobMirror.ExpectRevision, d.takeForecast, first)
+		},
+		OnJobEnd:   d.notifyFronts,
+		OnForecast: d.publishForecast,
 	}
 	d.ingress = &platform.Ingress{Config: d.config, Front: &front.Front{
-		Store: d.store, Index: d.index, AwaitStore: d.relay.Await, LastContact: d.jobMirror.LastContact, OnWrite: d.notifyPlanner, Log: log,
+		Store: d.store, Index: d.index, AwaitStore: d.relay.Await, LastContact: d.jobMirror.LastContact, OnWrite: d.notifyPlanner, Admit: d.admit, Log: log,
 	}}
 	return d
 }
@@ -89,6 +95,31 @@
 	}
 }
 
+// publishForecast passes a forecast of this front's planner to all fronts.
+func (d *frontDaemon) publishForecast(f *admit.Forecast) {
+	d.takeForecast(f)
+	for _, addr := range d.index.Fronts() {
+		if addr != d.announced {
+			d.relay.Send(addr, link.Frame{Forecast: f})
+		}
+	}
+}
+
+// takeForecast takes a forecast that arrives now.
+func (d *frontDaemon) takeForecast(f *admit.Forecast) {
+	d.desk.Update(f, clock.System().Monotonic(), clock.System().Now())
+}
+
+// admit decides about a job of a client account with the newest forecast.
+func (d *frontDaemon) admit(j *task.Job) (admit.Verdict, clock.Millis) {
+	guaranteed := false
+	if c := d.config.Get(); c != nil {
+		guaranteed = c.Accounts[j.Account].Accelerators > 0
+	}
+	_, epoch := d.steer.Planner()
+	return d.desk.Decide(j, guaranteed, epoch, clock.System().Monotonic())
+}
+
 // peers returns the addresses of the other fronts.
 func (d *frontDaemon) peers() []string {
 	var out []string
--- a/core/admit/outage.go
+++ b/core/admit/outage.go
@@ -1,5 +1,3 @@
-// Package admit decides which calls are refused, and when. Its decisions are pure; the
-// fronts and the planner carry them out.
 package admit
 
 import "gypsumcrank/core/clock"
--- a/core/plan/flood_test.go
+++ b/core/plan/flood_test.go
@@ -7,6 +7,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"gypsumcrank/core/load"
+	"gypsumcrank/core/task"
 )
 
 // flooding is the account that floods in the load account_flood.
@@ -15,24 +16,12 @@
 // withFlood returns the events of a load with only those jobs of its flood that belong
 // to a queue.
 func withFlood(events []load.Event, queue string) []load.Event {
-	var out []load.Event
-	for _, e := range events {
-		if e.Kind != load.Submit || !strings.HasPrefix(e.Job.ID, "flood") || e.Job.Queue == queue {
-			out = append(out, e)
-		}
-	}
-	return out
+	return filter(events, func(j *task.Job) bool { return !strings.HasPrefix(j.ID, "flood") || j.Queue == queue })
 }
 
 // ofOthers returns the events of a load without the jobs of the flooding account.
 func ofOthers(events []load.Event) []load.Event {
-	var others []load.Event
-	for _, e := range events {
-		if e.Kind != load.Submit || e.Job.Account != flooding {
-			others = append(others, e)
-		}
-	}
-	return others
+	return filter(events, func(j *task.Job) bool { return j.Account != flooding })
 }
 
 // inTime returns the share of the jobs that end in time.
--- a/internal/traces/loads.go
+++ b/internal/traces/loads.go
@@ -23,6 +23,7 @@
 	"still_workers":  stalledWorkers,
 	"cancel_wave":    cancelJobs,
 	"account_flood":  floodOfOneAccount,
+	"deep_backlog":   deepBacklog,
 }
 
 // loadBuilder builds one load.
@@ -274,3 +275,15 @@
 	b.stream(10*clock.Second, 40*clock.Second, 4*matchRate, flood(b.match))
 	b.stream(10*clock.Second, 40*clock.Second, 4*indexRate, flood(b.index))
 }
+
+// deepBacklog adds more large work within 10 s than all workers can run in five
+// minutes, while batch jobs arrive.
+func deepBacklog(b *loadBuilder) {
+	b.mix(0, clock.Minute, 0.5)
+	b.stream(25*clock.Second, clock.Minute, 2*indexRate, b.index)
+	b.stream(15*clock.Second, 25*clock.Second, 9, func(at clock.Millis) *load.Event {
+		return b.submit(at, "match", 1, 11000, task.Step{
+			Count: 5, Estimate: b.estimate(11000, 0.5), Need: task.Resources{MilliCPU: 52000, MemoryMB: 75000, Accelerators: 8},
+		})
+	})
+}
--- a/io/front/front.go
+++ b/io/front/front.go
@@ -54,8 +54,11 @@
 	// OnWrite is called with the revision of each stored write, so that others
 	// learn of it ahead of their watches.
 	OnWrite func(rev int64)
-	Clock   clock.Clock
-	Log     *slog.Logger
+	// Admit decides whether a job can be served, and returns the age of what it decides
+	// with; nil accepts all jobs.
+	Admit func(j *task.Job) (v admit.Verdict, age clock.Millis)
+	Clock clock.Clock
+	Log   *slog.Logger
 }
 
 // Submit accepts a job of a queue. A nil error means that the job is stored. An
@@ -77,6 +80,9 @@
 	if err := f.awaitStore(ctx, "submit", j.ID); err != nil {
 		return err
 	}
+	if err := f.refuseIfUnservable(ctx, j); err != nil {
+		return err
+	}
 	raw, err := task.Encode(j)
 	if err != nil {
 		return err
@@ -98,6 +104,29 @@
 	return nil
 }
 
+// refuseIfUnservable refuses a job that can't be served while it is worth anything. A
+// job that an earlier call may have stored is not refused: it may run.
+func (f *Front) refuseIfUnservable(ctx context.Context, j *task.Job) error {
+	if f.Admit == nil {
+		return nil
+	}
+	v, age := f.Admit(j)
+	if v.Reason == admit.Accepted {
+		return nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, readTimeout.Duration())
+	defer cancel()
+	if _, stored, err := f.Store.Get(ctx, store.JobKey(j.ID)); err != nil || stored {
+		return nil
+	}
+	meter.Count("jobs_refused", 1, string(v.Reason), j.Account)
+	f.Log.Warn("job_refused", "job", j.ID, "queue", j.Queue, "account", j.Account, "reason", v.Reason, "retry_after", v.RetryAfter, "forecast_age", age)
+	if v.Reason == admit.Infeasible {
+		return fault.New(fault.Infeasible, "ask for less per task", "no worker of the service can hold a task of this job").WithOutcome(fault.NotRun)
+	}
+	return fault.New(fault.Busy, "retry after the given time", "the work that goes before this job takes longer than its result is of use").WithOutcome(fault.NotRun).WithRetry(jitter(max(minRetryAfter, v.RetryAfter)))
+}
+
 // LogRejected logs why a call was not admitted, and under which configuration
 // version. The path names the job; config_age is how long ago the version was
 // confirmed to be the newest.
--- a/io/front/front_test.go
+++ b/io/front/front_test.go
@@ -11,6 +11,7 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"gypsumcrank/core/admit"
 	"gypsumcrank/core/clock"
 	"gypsumcrank/core/fault"
 	"gypsumcrank/core/route"
@@ -123,6 +124,24 @@
 	c.Check(ok, qt.IsFalse)
 }
 
+// A job that can't be served is refused before it is written, unless an earlier call has
+// stored it: then it may run.
+func TestUnservableJobIsRefusedUnlessStored(t *testing.T) {
+	c, ctx := qt.New(t), context.Background()
+	f, _ := newFront(t)
+	c.Assert(f.Submit(ctx, queue, "acme", job("1")), qt.IsNil)
+	f.Admit = func(*task.Job) (admit.Verdict, clock.Millis) {
+		return admit.Verdict{Reason: admit.Hopeless, RetryAfter: 5 * clock.Second}, 0
+	}
+	c.Check(f.Submit(ctx, queue, "acme", job("1")), qt.IsNil)
+	err := fault.Of(f.Submit(ctx, queue, "acme", job("2")))
+	c.Check(err.Outcome, qt.Equals, fault.NotRun)
+	c.Check(err.RetryAfter >= 2500, qt.IsTrue)
+	_, stored, getErr := f.Store.Get(ctx, store.JobKey("2"))
+	c.Assert(getErr, qt.IsNil)
+	c.Check(stored, qt.IsFalse)
+}
+
 func TestRetryAfterGrowsWithOutage(t *testing.T) {
 	f, _ := newFront(t)
 	f.Clock = clock.Manual(10_000)
--- a/io/link/link.go
+++ b/io/link/link.go
@@ -16,6 +16,7 @@
 
 	"github.com/fxamacker/cbor/v2"
 
+	"gypsumcrank/core/admit"
 	"gypsumcrank/core/clock"
 	"gypsumcrank/core/fault"
 	"gypsumcrank/core/plan"
@@ -59,6 +60,8 @@
 	// WrittenRev is a store revision at which something was written that the
 	// receiver should read.
 	WrittenRev int64 `cbor:"10,keyasint,omitempty"`
+	// Forecast is what the planner tells the fronts about the work that waits.
+	Forecast *admit.Forecast `cbor:"12,keyasint,omitempty"`
 }
 
 // Conn sends and receives frames. Send never blocks.
--- a/io/relay/peer.go
+++ b/io/relay/peer.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"gypsumcrank/core/admit"
 	"gypsumcrank/core/fault"
 	"gypsumcrank/io/link"
 	"gypsumcrank/io/store"
@@ -69,9 +70,9 @@
 }
 
 // Serve carries out the calls of one connection at a direct store, replies to
-// them, and passes its revision notifications to notify, beginning with the
-// first frame, until the connection ends.
-func Serve(c *link.Conn, direct store.TxnStore, notify func(rev int64), first link.Frame) {
+// them, and passes its revision notifications to notify and its forecasts to
+// forecast, beginning with the first frame, until the connection ends.
+func Serve(c *link.Conn, direct store.TxnStore, notify func(rev int64), forecast func(*admit.Forecast), first link.Frame) {
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	s := &server{conn: c, direct: direct}
@@ -82,6 +83,9 @@
 		if f.WrittenRev > 0 {
 			notify(f.WrittenRev)
 		}
+		if f.Forecast != nil {
+			forecast(f.Forecast)
+		}
 	}
 }
 
--- a/io/relay/relay.go
+++ b/io/relay/relay.go
@@ -255,27 +255,30 @@
 
 // Notify tells a peer that the store has reached a revision, without waiting.
 // Notifications may be lost; the peer's own watch delivers the same changes.
-func (r *Relay) Notify(addr string, rev int64) {
+func (r *Relay) Notify(addr string, rev int64) { r.Send(addr, link.Frame{WrittenRev: rev}) }
+
+// Send sends a peer a frame that needs no reply, without waiting. It may be lost.
+func (r *Relay) Send(addr string, f link.Frame) {
 	r.mu.Lock()
 	p, failed := r.conns[addr], r.peerFailedAt[addr]
 	r.mu.Unlock()
 	switch {
 	case p != nil:
-		p.conn.Send(link.Frame{WrittenRev: rev})
+		p.conn.Send(f)
 	case failed == 0 || clock.System().Monotonic()-failed > notifyBackoff:
-		go r.runNotify(addr, rev)
+		go r.runSend(addr, f)
 	}
 }
 
-// runNotify connects to a peer and tells it a revision.
-func (r *Relay) runNotify(addr string, rev int64) {
+// runSend connects to a peer and sends it a frame.
+func (r *Relay) runSend(addr string, f link.Frame) {
 	p, err := r.peer(addr)
 	if err != nil {
 		r.recordPeerFailure(addr)
-		r.Log.Debug("news_not_sent", "to", addr, "revision", rev, "error", err)
+		r.Log.Debug("news_not_sent", "to", addr, "revision", f.WrittenRev, "error", err)
 		return
 	}
-	p.conn.Send(link.Frame{WrittenRev: rev})
+	p.conn.Send(f)
 }
 
 // peer returns the connection to a peer, and makes it if there is none.
--- a/io/relay/relay_test.go
+++ b/io/relay/relay_test.go
@@ -11,6 +11,7 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"gypsumcrank/core/admit"
 	"gypsumcrank/core/clock"
 	"gypsumcrank/core/fault"
 	"gypsumcrank/internal/standin/plat"
@@ -45,7 +46,7 @@
 			go func() {
 				f, err := c.Receive(clock.Second)
 				if err == nil {
-					relay.Serve(c, k, func(int64) {}, f)
+					relay.Serve(c, k, func(int64) {}, func(*admit.Forecast) {}, f)
 				}
 				c.Close()
 			}()
--- a/io/steer/steer.go
+++ b/io/steer/steer.go
@@ -12,6 +12,7 @@
 	"sync"
 	"time"
 
+	"gypsumcrank/core/admit"
 	"gypsumcrank/core/clock"
 	"gypsumcrank/core/fault"
 	"gypsumcrank/core/kern"
@@ -78,6 +79,8 @@
 	ServePeer func(c *link.Conn, first link.Frame)
 	// OnJobEnd is called with the revision at which the end of a job was stored.
 	OnJobEnd func(rev int64)
+	// OnForecast is called with the planner's forecast at intervals.
+	OnForecast func(f *admit.Forecast)
 
 	mu       sync.Mutex
 	term     *term
--- a/io/steer/term.go
+++ b/io/steer/term.go
@@ -6,6 +6,7 @@
 	"sync/atomic"
 	"time"
 
+	"gypsumcrank/core/admit"
 	"gypsumcrank/core/clock"
 	"gypsumcrank/core/fault"
 	"gypsumcrank/core/kern"
@@ -31,6 +32,7 @@
 	closing         atomic.Bool           // the loop is about to stop and takes no more messages
 	leaseInDoubt    bool
 	gaugesAt        clock.Millis // when the gauges were last updated
+	forecastAt      clock.Millis // when the forecast was last published
 }
 
 // connMsg reports a new connection to a side.
@@ -165,10 +167,21 @@
 	case plan.TickMsg:
 		t.checkLease(now.Monotonic)
 		t.updateGauges(now.Monotonic)
+		t.publishForecast(now.Monotonic)
 	}
 	return t.apply(now, t.planner.Update(now, msg))
 }
 
+// publishForecast passes the planner's forecast to the fronts, unless another planner
+// may have been elected.
+func (t *term) publishForecast(now clock.Millis) {
+	if t.leaseInDoubt || now-t.forecastAt < admit.PublishInterval {
+		return
+	}
+	t.forecastAt = now
+	t.coord.OnForecast(t.planner.Forecast())
+}
+
 // gaugeInterval is how often the task gauges are updated.
 const gaugeInterval = clock.Second
 
