Operators see the accounts' demand, who is over its share, and why a task waits

Gauge account_demand{ACCOUNT,priority_N} in thousandths of the service, events account_over_share (at most one in 5 s an account) and task_waits (one a second, for requests that have waited 5 s: position, behind whom, rank).

--- a/core/fair/fair.go
+++ b/core/fair/fair.go
@@ -25,6 +25,17 @@
 	OverShare                 // its account demands a multiple of its share while others wait
 )
 
+func (r Rank) String() string {
+	switch r {
+	case Aged:
+		return "aged"
+	case OverShare:
+		return "over_share"
+	default:
+		return "normal"
+	}
+}
+
 // Class is a set of requests that compete: those of one priority for one service.
 type Class struct {
 	Service  string
--- a/core/fair/ledger.go
+++ b/core/fair/ledger.go
@@ -53,3 +53,6 @@
 
 // Mean returns the mean demand by account in a class. The caller must not change it.
 func (l *Ledger) Mean(class Class) map[string]float64 { return l.classes[class] }
+
+// All returns the mean demand by class and account. The caller must not change it.
+func (l *Ledger) All() map[Class]map[string]float64 { return l.classes }
--- a/core/plan/plan.go
+++ b/core/plan/plan.go
@@ -59,6 +59,8 @@
 	dirty         []*job                    // jobs whose record is out of date, the first to be written first
 	demand        *fair.Ledger              // what the accounts use and wait for
 	demandAt      clock.Millis              // when demand was last updated
+	overShareAt   map[accountClass]clock.Millis
+	waitLoggedAt  clock.Millis              // when it was last logged why a task waits
 	lastUrgentAt  clock.Millis              // when the last job of priority 0 was added
 	lastScheduled clock.Millis              // when schedule last ran
 	totals        map[string]task.Resources // resources of all workers by service, cached for one scheduling round
@@ -124,6 +126,7 @@
 	p.durations = make(map[string]*durationStats)
 	p.totals = make(map[string]task.Resources)
 	p.awaited = make(map[*unit]bool)
+	p.overShareAt = make(map[accountClass]clock.Millis)
 	p.demand = &fair.Ledger{HalfLife: fair.DefaultHalfLife}
 }
 
--- a/core/plan/sched.go
+++ b/core/plan/sched.go
@@ -43,7 +43,7 @@
 	}
 	blocked := make(map[stepKey]bool) // steps of which a request could not be placed; the others are skipped
 	var headroom map[*worker]task.Resources
-	for _, r := range requests {
+	for i, r := range requests {
 		if r.priority() > 0 && p.settling() {
 			break
 		}
@@ -67,6 +67,7 @@
 			}
 		}
 		blocked[key] = true
+		p.logWaiting(requests, i)
 		if r.priority() == 0 {
 			if !p.useReservation(s, r) && p.needsResourcesNow(r) {
 				p.evictFor(s, r)
--- a/core/plan/shares.go
+++ b/core/plan/shares.go
@@ -1,6 +1,8 @@
 package plan
 
 import (
+	"fmt"
+
 	"gypsumcrank/core/clock"
 	"gypsumcrank/core/fair"
 )
@@ -49,4 +51,67 @@
 	for i, rank := range fair.Ranks(p.now.Monotonic, in, p.demand, fair.Weights(guarantees)) {
 		requests[i].rank = rank
 	}
+	p.logOverShare(requests)
+}
+
+// logOverShare logs when an account's requests begin to yield to those of other
+// accounts.
+func (p *Planner) logOverShare(requests []*request) {
+	for _, r := range requests {
+		key := accountClass{classOf(r.job()), r.job().Account}
+		if r.rank != fair.OverShare || p.overShareAt[key] > p.now.Monotonic-overShareLogInterval && p.overShareAt[key] > 0 {
+			continue
+		}
+		p.overShareAt[key] = p.now.Monotonic
+		p.emit(Event{Kind: "account_over_share", Job: r.job().ID, Detail: fmt.Sprintf("account=%s priority=%d demand=%.2f", key.account, key.class.Priority, p.demand.Mean(key.class)[key.account])})
+	}
+}
+
+// accountClass is one account in one class.
+type accountClass struct {
+	class   fair.Class
+	account string
+}
+
+const (
+	// overShareLogInterval is how often it is logged that an account is over its share.
+	overShareLogInterval = 5 * clock.Second
+	// waitLogAfter is how long a request waits before it is logged why.
+	waitLogAfter = 5 * clock.Second
+	// waitLogInterval is how often that is logged for any request.
+	waitLogInterval = clock.Second
+)
+
+// logWaiting logs which requests go before the i-th one of a sorted list, which could
+// not be placed.
+func (p *Planner) logWaiting(requests []*request, i int) {
+	r := requests[i]
+	if p.now.Monotonic-r.waitingSince < waitLogAfter || p.now.Monotonic-p.waitLoggedAt < waitLogInterval {
+		return
+	}
+	p.waitLoggedAt = p.now.Monotonic
+	behind := "none"
+	if i > 0 {
+		behind = requests[i-1].job().ID
+	}
+	p.emit(Event{Kind: "task_waits", Job: r.job().ID, Task: r.first().fullName, Wait: p.now.Monotonic - r.waitingSince, Detail: fmt.Sprintf(
+		"account=%s priority=%d tasks=%d position=%d of=%d behind=%s rank=%s expired=%t", r.job().Account, r.priority(), len(r.units), i+1, len(requests), behind, r.rank, r.expired)})
+}
+
+// DemandKey groups the accounts' demand for the metrics.
+type DemandKey struct {
+	Account  string
+	Priority int
+}
+
+// Demand returns what the accounts used and waited for lately, as a share of the
+// service.
+func (p *Planner) Demand() map[DemandKey]float64 {
+	out := make(map[DemandKey]float64)
+	for class, accounts := range p.demand.All() {
+		for account, share := range accounts {
+			out[DemandKey{account, class.Priority}] += share
+		}
+	}
+	return out
 }
--- a/io/steer/term.go
+++ b/io/steer/term.go
@@ -172,6 +172,9 @@
 	return t.apply(now, t.planner.Update(now, msg))
 }
 
+// perMille turns a share into a whole number for a gauge.
+const perMille = 1000
+
 // publishForecast passes the planner's forecast to the fronts, unless another planner
 // may have been elected.
 func (t *term) publishForecast(now clock.Millis) {
@@ -195,6 +198,10 @@
 	for key, n := range t.planner.TaskCounts() {
 		meter.Gauge("tasks", int64(n), key.Account, "priority_"+strconv.Itoa(key.Priority), key.Phase)
 	}
+	meter.ClearGauge("account_demand")
+	for key, share := range t.planner.Demand() {
+		meter.Gauge("account_demand", int64(share*perMille), key.Account, "priority_"+strconv.Itoa(key.Priority))
+	}
 }
 
 // checkLease pauses starts while the lease may have expired, and tells the sides
