--- a/core/plan/shares.go
+++ b/core/plan/shares.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 
 	"gypsumcrank/core/clock"
 	"gypsumcrank/core/fair"
@@ -38,8 +39,12 @@
 
 func classOf(j *job) fair.Class { return fair.Class{Service: j.Service, Priority: j.Priority} }
 
-// rankFairly sets the rank of each request among those of its class.
+// rankFairly sets the rank of each request among those of its class. All ranks are
+// normal while no request has waited for long.
 func (p *Planner) rankFairly(requests []*request) {
+	if !slices.ContainsFunc(requests, func(r *request) bool { return p.now.Monotonic-r.waitingSince >= fair.ShortAfter }) {
+		return
+	}
 	in := make([]fair.Request, len(requests))
 	for i, r := range requests {
 		in[i] = fair.Request{Class: classOf(r.job()), Account: r.job().Account, Since: r.waitingSince}
