--- a/core/plan/plan.go
+++ b/core/plan/plan.go
@@ -12,6 +12,7 @@
 	"fmt"
 
 	"gypsumcrank/core/clock"
+	"gypsumcrank/core/fair"
 	"gypsumcrank/core/route"
 	"gypsumcrank/core/task"
 )
@@ -47,28 +48,32 @@
 	Epoch    int64
 	Settings Settings
 
-	now           Instant
-	started       clock.Millis // when this planner got its first message
-	config        *route.Config
-	jobs          map[string]*job
-	workers       map[task.Incarnation]*worker
-	byNode        map[string]*worker        // newest incarnation on each host
-	incarnations  int                       // worker incarnations ever seen
-	durations     map[string]*durationStats // by queue
-	inFlight      *inFlightWrite            // nil if none
-	seq           int                       // number of the last write
-	awaited       map[*unit]bool            // tasks whose end a reservation relies on
-	dirty         []*job                    // jobs whose record is out of date, the first to be written first
-	lastUrgentAt  clock.Millis              // when the last job of priority 0 was added
-	lastScheduled clock.Millis              // when schedule last ran
-	reservations  map[stepKey]*reservation  // of requests that wait for long
-	waitLoggedAt  clock.Millis              // when the log last said why a request waits
-	totals        map[string]task.Resources // resources of all workers by service, cached for one scheduling round
-	changed       bool                      // a placement that failed before may succeed now
-	effects       Effects
-	paused        bool // no task is placed
-	closings      closings
-
+	now            Instant
+	started        clock.Millis // when this planner got its first message
+	config         *route.Config
+	jobs           map[string]*job
+	workers        map[task.Incarnation]*worker
+	byNode         map[string]*worker        // newest incarnation on each host
+	incarnations   int                       // worker incarnations ever seen
+	durations      map[string]*durationStats // by queue
+	inFlight       *inFlightWrite            // nil if none
+	seq            int                       // number of the last write
+	awaited        map[*unit]bool            // tasks whose end a reservation relies on
+	dirty          []*job                    // jobs whose record is out of date, the first to be written first
+	demand         *fair.Ledger              // what the accounts use and wait for
+	demandAt       clock.Millis              // when demand was last updated
+	overShareAt    map[accountClass]clock.Millis
+	lastUrgentAt   clock.Millis              // when the last job of priority 0 was added
+	lastScheduled  clock.Millis              // when schedule last ran
+	reservations   map[stepKey]*reservation  // of requests that wait for long
+	waitLoggedAt   clock.Millis              // when the log last said why a request waits
+	totals         map[string]task.Resources // resources of all workers by service, cached for one scheduling round
+	changed        bool                      // a placement that failed before may succeed now
+	effects        Effects
+	closings       closings
+	paused         bool         // no task is placed
+	pausedAt       clock.Millis // when the pause began
+	settlesAt      clock.Millis // until then only work of priority 0 is placed
 	leaveCheckedAt clock.Millis // when tasks on leaving workers were last examined
 }
 
@@ -118,15 +123,6 @@
 	p.emit(Event{Kind: "planner_configured", Detail: fmt.Sprintf("version %d", c.Version)})
 }
 
-// Pause sets whether the planner is kept from placing tasks, because its lease is
-// in doubt.
-func (p *Planner) Pause(on bool) {
-	if p.paused && !on {
-		p.changed = true
-	}
-	p.paused = on
-}
-
 func (p *Planner) init(now Instant) {
 	if p.jobs != nil {
 		return
@@ -139,6 +135,8 @@
 	p.totals = make(map[string]task.Resources)
 	p.awaited = make(map[*unit]bool)
 	p.reservations = make(map[stepKey]*reservation)
+	p.overShareAt = make(map[accountClass]clock.Millis)
+	p.demand = &fair.Ledger{HalfLife: fair.DefaultHalfLife}
 }
 
 func (p *Planner) emit(e Event) { p.effects.Events = append(p.effects.Events, e) }
@@ -163,6 +161,7 @@
 		p.removeExpired(j)
 	}
 	p.checkGangStarts()
+	p.endSettling()
 	if p.now.Monotonic-p.lastScheduled >= rescheduleInterval {
 		p.moveOffStalled()
 		p.changed = true
--- a/core/plan/reserve.go
+++ b/core/plan/reserve.go
@@ -27,8 +27,6 @@
 	maxMisses = 2
 	// maxEvictions is how often a task is evicted at most as long as others can be.
 	maxEvictions = 2
-	// waitLogInterval is how often at most the log says why requests wait.
-	waitLogInterval = 2 * clock.Second
 )
 
 // reservation is resources that are kept for a request that can't be placed yet.
@@ -300,27 +298,20 @@
 	return true
 }
 
-// logWait says at intervals why the first request that has waited for long is left
-// waiting.
-func (p *Planner) logWait(s *snapshot, r *request) {
-	waited := p.now.Monotonic - r.waitingSince
-	if waited < starvationWait || p.now.Monotonic-p.waitLoggedAt < waitLogInterval {
-		return
-	}
-	p.waitLoggedAt = p.now.Monotonic
+// waitReason says what a request that can't be placed lacks, or for whom it is kept.
+func (p *Planner) waitReason(s *snapshot, r *request) string {
 	fits := false
 	s.with(s.kept, func() { _, fits = p.choose(s, r) })
-	reason := "no worker has the resources"
-	if fits {
-		var owners []string
-		for _, k := range s.kept {
-			if k.reservation != nil {
-				owners = append(owners, fmt.Sprintf("%s in %s", k.reservation.job, k.reservation.start-p.now.Monotonic))
-			} else {
-				owners = append(owners, "urgent jobs to come")
-			}
+	if !fits {
+		return "no worker has the resources"
+	}
+	var owners []string
+	for _, k := range s.kept {
+		if k.reservation != nil {
+			owners = append(owners, fmt.Sprintf("%s in %s", k.reservation.job, k.reservation.start-p.now.Monotonic))
+		} else {
+			owners = append(owners, "urgent jobs to come")
 		}
-		reason = "resources are kept for " + strings.Join(owners, ", ")
 	}
-	p.emit(Event{Kind: "task_waits", Job: r.job().ID, Task: r.first().fullName, Wait: waited, Detail: fmt.Sprintf("priority=%d tasks=%d reason: %s", r.priority(), len(r.units), reason)})
+	return "resources are kept for " + strings.Join(owners, ", ")
 }
--- a/core/plan/sched.go
+++ b/core/plan/sched.go
@@ -4,6 +4,7 @@
 	"sort"
 
 	"gypsumcrank/core/clock"
+	"gypsumcrank/core/fair"
 	"gypsumcrank/core/task"
 )
 
@@ -17,6 +18,7 @@
 	expired      bool         // expiry has passed
 	guaranteed   bool         // within its account's guarantee
 	booked       bool         // it was placed, or its booking kept, ahead of its turn
+	rank         fair.Rank    // among the requests of its priority
 }
 
 func (r *request) job() *job     { return r.units[0].job }
@@ -27,20 +29,25 @@
 // requests of priority 0 that can't be placed.
 func (p *Planner) schedule() {
 	requests := p.pendingRequests()
+	p.recordDemand(requests)
 	if len(requests) == 0 {
 		return
 	}
 	s := p.newSnapshot()
 	p.markGuaranteed(requests)
+	p.rankFairly(requests)
 	sort.SliceStable(requests, func(i, j int) bool { return requests[i].before(requests[j]) })
 	blocked := make(map[stepKey]bool) // steps of which a request could not be placed; the others are skipped
-	hasHeadroom, waits := false, false
+	hasHeadroom := false
 	p.dropReservations()
 	p.useGuaranteedBookings(s, requests)
-	for _, r := range requests {
+	for i, r := range requests {
 		if r.booked {
 			continue
 		}
+		if r.priority() > 0 && p.settling() {
+			break
+		}
 		if r.priority() > 0 && !hasHeadroom {
 			hasHeadroom = true
 			p.reserveHeadroom(s)
@@ -52,12 +59,9 @@
 		if p.place(s, r) || p.placeOnKept(s, r) {
 			continue
 		}
-		if !waits {
-			waits = true
-			p.logWait(s, r)
-		}
 		blocked[key] = true
 		p.reportClosedWait(r)
+		p.logWaiting(s, requests, i)
 		if r.priority() == 0 {
 			if !p.useReservation(s, r) && p.needsResourcesNow(r) {
 				p.evictFor(s, r)
@@ -202,7 +206,9 @@
 }
 
 // before reports whether r is scheduled before o: by priority, then guaranteed
-// requests, then jobs that have not expired, then by deadline and by name.
+// requests, then jobs that have not expired, then by rank, deadline and name. A
+// request that has aged goes before the others of its priority but the guaranteed
+// ones, even if its job has expired.
 func (r *request) before(o *request) bool {
 	if r.priority() != o.priority() {
 		return r.priority() < o.priority()
@@ -210,9 +216,15 @@
 	if r.guaranteed != o.guaranteed {
 		return r.guaranteed
 	}
+	if (r.rank == fair.Aged) != (o.rank == fair.Aged) {
+		return r.rank == fair.Aged
+	}
 	if r.expired != o.expired {
 		return !r.expired
 	}
+	if r.rank != o.rank {
+		return r.rank < o.rank
+	}
 	if r.deadline != o.deadline {
 		return r.deadline < o.deadline
 	}
--- a/io/steer/steer.go
+++ b/io/steer/steer.go
@@ -12,6 +12,7 @@
 	"sync"
 	"time"
 
+	"gypsumcrank/core/admit"
 	"gypsumcrank/core/centre"
 	"gypsumcrank/core/clock"
 	"gypsumcrank/core/fault"
@@ -34,6 +35,8 @@
 	renewsPerLease = 4
 	// renewTimeout bounds one renewal; a slow store responds in 200 ms.
 	renewTimeout = 600 * clock.Millisecond
+	// renewRetry is how long after a failed renewal the next one is tried.
+	renewRetry = 100 * clock.Millisecond
 	// campaignInterval is how often a candidate checks whether the planner key
 	// is free.
 	campaignInterval = 50 * time.Millisecond
@@ -78,6 +81,8 @@
 	ServePeer func(c *link.Conn, first link.Frame)
 	// OnJobEnd is called with the revision at which the end of a job was stored.
 	OnJobEnd func(rev int64)
+	// OnForecast is called with the planner's forecast at intervals.
+	OnForecast func(f *admit.Forecast)
 
 	mu       sync.Mutex
 	term     *term
--- a/io/steer/term.go
+++ b/io/steer/term.go
@@ -6,6 +6,7 @@
 	"sync/atomic"
 	"time"
 
+	"gypsumcrank/core/admit"
 	"gypsumcrank/core/clock"
 	"gypsumcrank/core/fault"
 	"gypsumcrank/core/kern"
@@ -32,6 +33,7 @@
 	leaseInDoubt    bool
 	gaugesAt        clock.Millis // when the gauges were last updated
 	closed          plan.ClosedMsg
+	forecastAt      clock.Millis // when the forecast was last published
 }
 
 // connMsg reports a new connection to a side.
@@ -118,12 +120,14 @@
 // dropped the lease; after other errors it tries again.
 func (t *term) runRenew(ctx context.Context) {
 	s := t.coord
+	wait := t.leaseTTL / renewsPerLease
 	for {
 		select {
 		case <-ctx.Done():
 			return
-		case <-time.After((t.leaseTTL / renewsPerLease).Duration()):
+		case <-time.After(wait.Duration()):
 		}
+		wait = t.leaseTTL / renewsPerLease
 		sent := s.Clock.Boottime()
 		call, cancel := context.WithTimeout(ctx, renewTimeout.Duration())
 		err := s.Store.KeepAlive(call, t.lease)
@@ -134,6 +138,8 @@
 		case fault.Is(err, fault.NotFound):
 			t.end("the lease expired")
 			return
+		default:
+			wait = renewRetry // nothing is placed until the lease is certain again
 		}
 	}
 }
@@ -165,6 +171,7 @@
 	case plan.TickMsg:
 		t.checkKey()
 		t.updateGauges(now.Monotonic)
+		t.publishForecast(now.Monotonic)
 	}
 	cmds := t.updateClosed(now)
 	return append(cmds, t.apply(t.planner.Update(now, msg))...)
@@ -187,6 +194,19 @@
 	return t.apply(t.planner.Update(now, next))
 }
 
+// perMille turns a share into a whole number for a gauge.
+const perMille = 1000
+
+// publishForecast passes the planner's forecast to the fronts, unless another planner
+// may have been elected.
+func (t *term) publishForecast(now clock.Millis) {
+	if t.coord.OnForecast == nil || t.leaseInDoubt || now-t.forecastAt < admit.PublishInterval {
+		return
+	}
+	t.forecastAt = now
+	t.coord.OnForecast(t.planner.Forecast())
+}
+
 // gaugeInterval is how often the task gauges are updated.
 const gaugeInterval = clock.Second
 
@@ -204,6 +224,10 @@
 	for key, n := range t.planner.TaskCounts() {
 		meter.Gauge("tasks", int64(n), key.Account, "priority_"+strconv.Itoa(key.Priority), key.Phase)
 	}
+	meter.ClearGauge("account_demand")
+	for key, share := range t.planner.Demand() {
+		meter.Gauge("account_demand", int64(share*perMille), key.Account, "priority_"+strconv.Itoa(key.Priority))
+	}
 }
 
 // checkLease pauses starts while the lease may have expired, and tells the sides
