core/plan: batch work leaves the headroom alone; nothing stands beside a booking

Now it takes it only if most of the service is idle.

What is booked may now be used as what is reserved, if the booking is not guaranteed. Runs in doubt do not count as used.

--- a/core/plan/booking.go
+++ b/core/plan/booking.go
@@ -26,7 +26,7 @@
 			s.freeSoon[v.placedOn] = s.freeSoon[v.placedOn].Plus(v.need())
 		}
 	}
-	s.allocate(r, best.targets)
+	s.book(r, best.targets)
 	for i, u := range r.units {
 		u.reservedOn = best.targets[i]
 	}
@@ -184,7 +184,18 @@
 	if free {
 		p.startOn(s, r, targets)
 	} else {
-		s.allocate(r, targets)
+		s.book(r, targets)
 	}
 	return true
 }
+
+// book takes booked resources out of the snapshot. An urgent gang that waits for the end of
+// a task may have booked most of a service.
+func (s *snapshot) book(r *request, targets []*worker) {
+	s.allocate(r, targets)
+	k := &keep{resources: make(map[*worker]task.Resources), booking: r}
+	for i, u := range r.units {
+		k.resources[targets[i]] = k.resources[targets[i]].Plus(u.need())
+	}
+	s.kept = append(s.kept, k)
+}
--- a/core/plan/headroom.go
+++ b/core/plan/headroom.go
@@ -53,18 +53,40 @@
 // request does so for longer than maxIdleWait.
 func (p *Planner) canWait(r *request) bool {
 	j := r.job()
-	if p.now.Monotonic-r.waitingSince > maxIdleWait && p.mostlyIdle(j.Service) {
+	if p.standsIdle(r) {
 		return false
 	}
+	if j.Priority > 1 {
+		return true // a late batch job costs less than an urgent one that has to wait for stops
+	}
 	criticalPath := p.criticalPath(j)
 	return float64(r.deadline-p.now.Monotonic-criticalPath) > headroomSlack*float64(j.Objective(criticalPath))
 }
 
 // keep is resources that are taken out of a snapshot for somebody: for the owner of a
-// reservation, or for urgent jobs to come.
+// reservation or of a booking, or else for urgent jobs to come.
 type keep struct {
 	resources   map[*worker]task.Resources
-	reservation *reservation // nil for urgent jobs to come
+	reservation *reservation
+	booking     *request
+}
+
+// mayUse reports whether a request may use what is kept.
+func (p *Planner) mayUse(r *request, k *keep) bool {
+	switch {
+	case k.reservation != nil:
+		return p.mayBorrow(r, k.reservation)
+	case k.booking != nil:
+		return !k.booking.guaranteed && p.standsIdle(r)
+	default:
+		return !p.canWait(r)
+	}
+}
+
+// standsIdle reports whether a request has waited while most of its service is idle. Then it
+// may use whatever is free.
+func (p *Planner) standsIdle(r *request) bool {
+	return p.now.Monotonic-r.waitingSince > maxIdleWait && p.mostlyIdle(r.job().Service)
 }
 
 // with calls do while what is kept can be assigned. Afterwards it keeps what is left.
@@ -90,12 +112,13 @@
 	}
 }
 
-// mostlyIdle reports whether less than half of a service's resources are in use.
+// mostlyIdle reports whether less than half of a service's resources are in use. Those of
+// runs in doubt, which may be over, do not count as used.
 func (p *Planner) mostlyIdle(service string) bool {
 	var used, total task.Resources
 	for _, w := range p.workers {
 		if !w.dead && w.service == service {
-			used, total = used.Plus(w.used), total.Plus(w.capacity)
+			used, total = used.Plus(w.used).Minus(w.doubtful), total.Plus(w.capacity)
 		}
 	}
 	return 2*used.Accelerators < total.Accelerators && 2*used.MilliCPU < total.MilliCPU && 2*used.MemoryMB < total.MemoryMB
--- a/core/plan/reserve.go
+++ b/core/plan/reserve.go
@@ -275,14 +275,14 @@
 			return true
 		}
 	}
-	return p.now.Monotonic-r.waitingSince > maxIdleWait && p.mostlyIdle(r.job().Service)
+	return p.standsIdle(r)
 }
 
 // placeOnKept places a request with what is kept for others and may be used for it.
 func (p *Planner) placeOnKept(s *snapshot, r *request) bool {
 	var open []*keep
 	for _, k := range s.kept {
-		if len(k.resources) > 0 && (k.reservation == nil && !p.canWait(r) || k.reservation != nil && p.mayBorrow(r, k.reservation)) {
+		if len(k.resources) > 0 && p.mayUse(r, k) {
 			open = append(open, k)
 		}
 	}
@@ -314,7 +314,9 @@
 	if fits {
 		var owners []string
 		for _, k := range s.kept {
-			if k.reservation != nil {
+			if k.booking != nil {
+				owners = append(owners, k.booking.job().ID+" until others end")
+			} else if k.reservation != nil {
 				owners = append(owners, fmt.Sprintf("%s in %s", k.reservation.job, k.reservation.start-p.now.Monotonic))
 			} else {
 				owners = append(owners, "urgent jobs to come")
--- a/core/plan/unit.go
+++ b/core/plan/unit.go
@@ -72,11 +72,21 @@
 	delete(w.byName, u.fullName)
 	delete(w.pendingOrders, u)
 	w.used = w.used.Minus(u.need())
+	if u.phase == inDoubt {
+		w.doubtful = w.doubtful.Minus(u.need())
+	}
 	u.placedOn, u.phase, u.awaitedUntil = nil, idle, 0
 }
 
 // setPhase changes the phase and tracks which runs have a pending order.
 func (u *unit) setPhase(next phase) {
+	w := u.placedOn
+	if u.phase == inDoubt {
+		w.doubtful = w.doubtful.Minus(u.need())
+	}
+	if next == inDoubt {
+		w.doubtful = w.doubtful.Plus(u.need())
+	}
 	u.phase = next
 	if next == starting || next == stopping {
 		u.placedOn.pendingOrders[u] = true
--- a/core/plan/worker.go
+++ b/core/plan/worker.go
@@ -16,6 +16,7 @@
 	rack          string
 	capacity      task.Resources
 	used          task.Resources
+	doubtful      task.Resources // part of used whose runs an earlier planner recorded and no report has confirmed
 	units         map[*unit]bool
 	byName        map[string]*unit          // units by full name
 	pendingOrders map[*unit]bool            // units whose start or stop has not taken effect yet
