--- a/core/plan/booking.go
+++ b/core/plan/booking.go
@@ -5,16 +5,12 @@
 	"gypsumcrank/core/task"
 )
 
-// maxBookedWait is how long resources are held idle until the rest of what a request
-// needs is free.
-const maxBookedWait = 2 * clock.Second
-
 // evictFor evicts the tasks that lose the least work for a request of priority
 // 0, and reserves their resources for it until all are free. It evicts nothing if that
-// loses more than the request is worth, or if the resources would be idle for too long.
+// loses more than the request is worth.
 func (p *Planner) evictFor(s *snapshot, r *request) {
 	best := p.cheapestEviction(s, r)
-	if best == nil || !p.isWorth(r, best) || p.longestWait(best) > maxBookedWait {
+	if best == nil || !p.isWorth(r, best) {
 		return
 	}
 	for v := range best.awaited {
@@ -42,15 +38,6 @@
 	}
 }
 
-// longestWait returns how long the last task that a plan awaits is expected to take.
-func (p *Planner) longestWait(e *evictionPlan) clock.Millis {
-	var longest clock.Millis
-	for v := range e.awaited {
-		longest = max(longest, p.remaining(v))
-	}
-	return longest
-}
-
 // cheapestEviction compares the ways to free resources for a request: on each
 // rack alone, on each rack after a wait that makes the request late, and on any
 // workers.
