A store that has gone silent is found out by a read before a write is sent

Polls and calls on all routes take up to 2.5 s to fail, so each front learned of the silence only from its own first write. Change: a submit or cancel reads a key first unless a call succeeded in the last 0.3 s, on any route, within the time that it may wait for the store anyway.

--- a/io/relay/relay.go
+++ b/io/relay/relay.go
@@ -108,24 +108,54 @@
 	}
 }
 
-// Await waits until a call has succeeded since the last one failed on all routes, and
-// reports whether that happened before ctx ended. A write that is sent only then is
-// rarely left in doubt.
+// Timing of Await.
+const (
+	// trustedFor is how long after a response the store counts as responding. A store
+	// that goes silent is found out only by a call.
+	trustedFor = 300 * clock.Millisecond
+	// awaitRetry is the pause after a probe that failed at once.
+	awaitRetry = 100 * time.Millisecond
+)
+
+// Await waits until the store responds on some route, and reports whether it did before
+// ctx ended. It makes a read unless a call has succeeded just now and none has failed
+// since. A write that is sent only then is rarely left in doubt.
 func (r *Relay) Await(ctx context.Context) bool {
-	r.mu.Lock()
-	recovered := r.recovered
-	r.mu.Unlock()
-	if recovered == nil {
-		return true
-	}
-	select {
-	case <-recovered:
-		return true
-	case <-ctx.Done():
-		return false
+	for {
+		r.mu.Lock()
+		recovered, since := r.recovered, clock.System().Monotonic()-r.lastSuccess
+		r.mu.Unlock()
+		if recovered == nil && since <= trustedFor {
+			return true
+		}
+		responds := make(chan bool, 1)
+		go r.runProbe(ctx, responds)
+		select {
+		case ok := <-responds:
+			if ok {
+				return true
+			}
+		case <-recovered: // never ready if nil
+			return true
+		case <-ctx.Done():
+			return false
+		}
+		select {
+		case <-time.After(awaitRetry):
+		case <-ctx.Done():
+			return false
+		}
 	}
 }
 
+// runProbe reads a key on any route and reports whether the store responds.
+func (r *Relay) runProbe(ctx context.Context, responds chan<- bool) {
+	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
+	defer cancel()
+	_, _, err := r.Get(ctx, store.PlannerKey)
+	responds <- err == nil
+}
+
 // recordResult records whether the store responded to a call that was sent at a time.
 // A failure says nothing if another call has succeeded since.
 func (r *Relay) recordResult(sent clock.Millis, err error) {
