plan: learn how fast workers are, and place work by it

Tight work waited 0.01 s and then ran on workers up to 2.7 times slower than others, which no decision knew of. The planner now learns a factor per worker from progress and ends (core/speed), places tight work on workers that meet its objective, gangs on workers of like speed, patient work on slow ones; the side keeps the figure for the next planner.

--- a/core/plan/headroom.go
+++ b/core/plan/headroom.go
@@ -36,6 +36,9 @@
 	want := int(headroomShare * float64(total))
 	emptiest := append([]*worker(nil), s.workers...)
 	sort.SliceStable(emptiest, func(i, j int) bool {
+		if a, b := p.slowForUrgent(emptiest[i]), p.slowForUrgent(emptiest[j]); a != b {
+			return b
+		}
 		return s.free[emptiest[i]].Accelerators > s.free[emptiest[j]].Accelerators
 	})
 	for _, w := range emptiest {
--- a/core/plan/learn.go
+++ b/core/plan/learn.go
@@ -54,6 +54,7 @@
 // learnDuration records the duration of a task that ended done, unless the run
 // resumed from a checkpoint or crossed racks.
 func (p *Planner) learnDuration(u *unit) {
+	p.observeEnd(u)
 	if u.resumed || u.crossRack || u.confirmedAt == 0 {
 		return
 	}
@@ -62,7 +63,7 @@
 		l = &durationStats{}
 		p.durations[u.job.Queue] = l
 	}
-	l.add(p.now.Monotonic-u.confirmedAt, u.step.Estimate)
+	l.add(clock.Millis(float64(p.now.Monotonic-u.confirmedAt)/p.gangFactor(u)), u.step.Estimate)
 }
 
 // expectedDuration returns how long a task of a job's step is expected to take
--- a/core/plan/leave.go
+++ b/core/plan/leave.go
@@ -18,9 +18,12 @@
 
 // remaining estimates how much longer a running task takes.
 func (p *Planner) remaining(u *unit) clock.Millis {
+	if left, ok := p.remainingAtPace(u); ok && p.uneven() {
+		return left
+	}
 	ran := p.now.Monotonic - u.confirmedAt
 	if u.percent > 0 && ran > 0 {
 		return ran * clock.Millis(100-u.percent) / clock.Millis(u.percent)
 	}
-	return max(0, p.expectedDuration(u.job, u.name.Step)-ran)
+	return max(0, clock.Millis(float64(p.expectedDuration(u.job, u.name.Step))*p.gangFactor(u))-ran)
 }
--- a/core/plan/lists.go
+++ b/core/plan/lists.go
@@ -16,6 +16,7 @@
 	}
 	p.applyEnds(w, m.Ended)
 	p.applyRunning(w, m.Running)
+	p.observeWorker(w)
 	for _, u := range w.unlisted() {
 		switch {
 		case u.phase == inDoubt:
@@ -221,5 +222,6 @@
 	p.confirm(u)
 	if r.Percent != u.percent {
 		u.percent, u.progressedAt = r.Percent, p.now.Monotonic
+		p.observeProgress(u)
 	}
 }
--- a/core/plan/msg.go
+++ b/core/plan/msg.go
@@ -69,6 +69,9 @@
 	AnsweredOrders int64         `cbor:"12,keyasint,omitempty"` // orders answered before the lists were requested
 	Running        []RunningTask `cbor:"13,keyasint,omitempty"`
 	Ended          []EndedTask   `cbor:"14,keyasint,omitempty"`
+	// The speed of the worker that an earlier planner has learned, from its Grant.
+	SpeedPermille int `cbor:"16,keyasint,omitempty"`
+	SpeedWeight   int `cbor:"17,keyasint,omitempty"`
 }
 
 // LinkMsg reports that the connection to a side was made or lost.
@@ -139,6 +142,9 @@
 	Epoch        int64            `cbor:"2,keyasint"`
 	Until        clock.Millis     `cbor:"3,keyasint"` // on the worker's clock
 	AckedThrough int64            `cbor:"4,keyasint"` // ended runs up to this number are recorded
+	// What is known of the worker's speed; the side reports it to the next planner.
+	SpeedPermille int `cbor:"5,keyasint,omitempty"` // how many times as long tasks take, times 1000
+	SpeedWeight   int `cbor:"6,keyasint,omitempty"` // inverse variance of its logarithm
 }
 
 // Write is a set of progress records to store atomically.
--- a/core/plan/place.go
+++ b/core/plan/place.go
@@ -27,6 +27,7 @@
 		}
 		s.workers = append(s.workers, w)
 		w.stalled = p.isStalled(w)
+		w.credible = p.credibleFactor(w)
 		s.free[w] = w.free()
 		s.freeSoon[w] = s.free[w]
 		for u := range w.pendingOrders {
@@ -153,8 +154,9 @@
 	u := r.first()
 	var best placement
 	found := false
+	d := p.newDemand(s, r)
 	try := func(workers []*worker, crossRack bool) {
-		c, ok := p.fit(s, r, workers)
+		c, ok := p.fitLevels(s, r, workers, d)
 		if !ok {
 			return
 		}
@@ -242,7 +244,7 @@
 
 // fit assigns the tasks one by one, each to the worker with the lowest
 // placement cost.
-func (p *Planner) fit(s *snapshot, r *request, workers []*worker) (placement, bool) {
+func (p *Planner) fit(s *snapshot, r *request, workers []*worker, d demand) (placement, bool) {
 	c := placement{targets: make([]*worker, len(r.units))}
 	taken := make(map[*worker]task.Resources)
 	count := make(map[*worker]int)
@@ -254,7 +256,7 @@
 			if !p.allowed(w, u) || !u.need().Fits(free) || !belowWorkerLimit(w, u, count[w]) {
 				continue
 			}
-			if cost := placementCost(w, u, free); best == nil || cost < bestCost {
+			if cost := placementCost(w, u, free) + d.cost(w); best == nil || cost < bestCost {
 				best, bestCost = w, cost
 			}
 		}
@@ -269,6 +271,23 @@
 	return c, true
 }
 
+// fitLevels places a gang of tight work on workers up to each level of speed, as it
+// is as slow as the slowest of them, and returns the cheapest placement.
+func (p *Planner) fitLevels(s *snapshot, r *request, workers []*worker, d demand) (placement, bool) {
+	if len(r.units) == 1 || !d.aware || !d.tight() {
+		return p.fit(s, r, workers, d)
+	}
+	var best placement
+	found := false
+	for _, level := range levels(workers) {
+		d.level = level
+		if c, ok := p.fit(s, r, upTo(workers, level), d); ok && (!found || c.cost < best.cost) {
+			best, found = c, true
+		}
+	}
+	return best, found
+}
+
 // belowWorkerLimit reports whether a worker may run one more task of u's step
 // besides its present and planned ones.
 func belowWorkerLimit(w *worker, u *unit, planned int) bool {
--- a/core/plan/plan.go
+++ b/core/plan/plan.go
@@ -13,6 +13,7 @@
 
 	"gypsumcrank/core/clock"
 	"gypsumcrank/core/route"
+	"gypsumcrank/core/speed"
 	"gypsumcrank/core/task"
 )
 
@@ -31,11 +32,12 @@
 	MaxStopTime      clock.Millis // longest time that a stop takes
 	ReclaimLimit     clock.Millis // time within which guaranteed work must start
 	CrossRackFactor  float64      // how many times as long work takes on the wrong rack or across racks
+	LearnSpeeds      bool         // the speeds of workers are learned and placement takes them into account
 }
 
 // DefaultSettings returns settings for workers that accept leases of 6 s.
 func DefaultSettings() Settings {
-	return Settings{MaxLease: 5500, StaleGrantWindow: 8 * clock.Second, Retention: 180 * clock.Second, GangStartTimeout: 1500, MaxStopTime: 900, ReclaimLimit: 2700, CrossRackFactor: 3}
+	return Settings{MaxLease: 5500, StaleGrantWindow: 8 * clock.Second, Retention: 180 * clock.Second, GangStartTimeout: 1500, MaxStopTime: 900, ReclaimLimit: 2700, CrossRackFactor: 3, LearnSpeeds: true}
 }
 
 // Planner schedules tasks on workers. Set the exported fields before the first
@@ -52,6 +54,9 @@
 	byNode        map[string]*worker        // newest incarnation on each host
 	incarnations  int                       // worker incarnations ever seen
 	durations     map[string]*durationStats // by queue
+	speeds        speed.Model               // by host
+	speedKinds    map[string]string         // kind of the worker of each host
+	lastSolved    clock.Millis              // when speeds were last inferred
 	inFlight      *inFlightWrite            // nil if none
 	seq           int                       // number of the last write
 	awaited       map[*unit]bool            // tasks whose end a reservation relies on
@@ -126,6 +131,7 @@
 	p.workers = make(map[task.Incarnation]*worker)
 	p.byNode = make(map[string]*worker)
 	p.durations = make(map[string]*durationStats)
+	p.speedKinds = make(map[string]string)
 	p.totals = make(map[string]task.Resources)
 	p.awaited = make(map[*unit]bool)
 }
@@ -143,6 +149,7 @@
 		p.resend(w)
 	}
 	p.evictOverdue()
+	p.solveSpeeds()
 	for _, j := range p.jobs {
 		p.addDueOccurrences(j)
 		p.removeExpired(j)
--- a/core/plan/sched.go
+++ b/core/plan/sched.go
@@ -48,6 +48,10 @@
 		if r.first().reservedOn == nil && blocked[key] {
 			continue
 		}
+		if p.holdForFaster(s, r) {
+			blocked[key] = r.first().reservedOn == nil
+			continue
+		}
 		if p.place(s, r) {
 			continue
 		}
--- a/core/plan/unit.go
+++ b/core/plan/unit.go
@@ -46,6 +46,7 @@
 	percent      int                       // progress as last listed
 	progressedAt clock.Millis              // when percent last changed
 	confirmedAt  clock.Millis              // when the run was confirmed
+	pace         pace                      // progress as listed
 	avoid        map[task.Incarnation]bool // where it failed or was stalled
 	resumed      bool                      // the run started from a checkpoint
 	crossRack    bool                      // the run is away from its data, or its gang spans racks
@@ -58,6 +59,7 @@
 	u.placedOn = w
 	u.setPhase(initial)
 	u.startsSent, u.startInDoubt, u.answerSeq, u.orderSentAt, u.percent, u.confirmedAt, u.awaitedUntil = 0, false, 0, 0, 0, 0, 0
+	u.pace = pace{}
 	w.units[u] = true
 	w.byName[u.fullName] = u
 	w.used = w.used.Plus(u.need())
@@ -120,7 +122,7 @@
 		u.job.state = task.Running
 	}
 	p.markDirty(u.job)
-	p.emit(Event{Kind: "task_placed", Job: u.job.ID, Task: u.fullName, Worker: w.node, Run: run})
+	p.emit(Event{Kind: "task_placed", Job: u.job.ID, Task: u.fullName, Worker: w.node, Run: run, Detail: p.paceDetail(u, w)})
 }
 
 // abandonStart drops a start for which no order was sent.
--- a/core/plan/worker.go
+++ b/core/plan/worker.go
@@ -44,7 +44,11 @@
 
 	backoffUntil clock.Millis // it refused a start and gets no other before this time
 	health       health
-	stalled      bool // no task on it made progress when the last scheduling round began
+	stalled      bool         // no task on it made progress when the last scheduling round began
+	slowUntil    clock.Millis // all its tasks are slow for now, slowBy times as slow as before
+	slowBy       float64
+	loggedFactor float64 // factor of its speed as last logged
+	credible     float64 // credible factor of its speed when the last scheduling round began
 }
 
 func (p *Planner) newWorker(incarnation task.Incarnation) *worker {
@@ -173,6 +177,7 @@
 	if w.dead {
 		return
 	}
+	p.restoreSpeed(w, m)
 	if m.Gone {
 		p.markDead(w, "left")
 		return
@@ -255,7 +260,8 @@
 	if w.dead || !w.linked {
 		return
 	}
-	p.effects.Grants = append(p.effects.Grants, Grant{Node: w.node, Incarnation: w.incarnation, Epoch: p.Epoch, Until: p.leaseEnd(w), AckedThrough: w.ackedThrough})
+	permille, weight := p.speedFor(w)
+	p.effects.Grants = append(p.effects.Grants, Grant{Node: w.node, Incarnation: w.incarnation, Epoch: p.Epoch, Until: p.leaseEnd(w), AckedThrough: w.ackedThrough, SpeedPermille: permille, SpeedWeight: weight})
 }
 
 // recordEnd records that an end is in the store and advances ackedThrough.
--- a/io/side/find.go
+++ b/io/side/find.go
@@ -243,6 +243,9 @@
 	defer s.mu.Unlock()
 	if g.Epoch == s.epoch {
 		s.grant = g
+		if s.endpoint != nil && s.endpoint.Incarnation == g.Incarnation {
+			s.speedKind = s.endpoint.Kind
+		}
 		s.notifyChanged()
 	}
 }
--- a/io/side/side.go
+++ b/io/side/side.go
@@ -90,6 +90,7 @@
 	conn           *link.Conn      // to the planner, or nil
 	epoch          int64           // of the planner last connected to
 	grant          plan.Grant      // the last one
+	speedKind      string          // kind of the worker whose speed the last grant holds
 	answeredOrders int64           // orders that the worker has answered or the side has refused
 	changed        chan struct{}   // closed by notifyChanged
 	cancel         context.CancelFunc
@@ -158,10 +159,14 @@
 
 // newReport returns a report without task lists.
 func (s *Side) newReport(e Endpoint) *plan.ReportMsg {
-	return &plan.ReportMsg{
+	r := &plan.ReportMsg{
 		Node: s.Node, Incarnation: e.Incarnation, Service: e.Service, Kind: e.Kind, Rack: e.Rack,
 		Capacity: e.Capacity, Draining: e.Draining, Remaining: e.Remaining,
 	}
+	if s.speedKind == e.Kind {
+		r.SpeedPermille, r.SpeedWeight = s.grant.SpeedPermille, s.grant.SpeedWeight
+	}
+	return r
 }
 
 // send sends a frame to the planner, if there is a connection. The caller holds
