plan: speeds survive the loss of all hosts; earliest end counts more for tight work

The speeds go into the store with a write of progress that is due anyway, at most every 8 s, so they take no call of their own.

--- a/core/plan/msg.go
+++ b/core/plan/msg.go
@@ -151,6 +151,7 @@
 type Write struct {
 	Seq     int
 	Records []Record
+	Speeds  []StoredSpeed // of workers; nil if they are not to be stored now
 }
 
 // Record is the progress of one job. Nil progress deletes the job.
--- a/core/plan/plan.go
+++ b/core/plan/plan.go
@@ -56,6 +56,8 @@
 	durations     map[string]*durationStats // by queue
 	speeds        speed.Model               // by host
 	speedKinds    map[string]string         // kind of the worker of each host
+	storedSpeeds  map[string]StoredSpeed    // by host, of an earlier planner
+	storedAt      clock.Millis              // when speeds were last written
 	lastSolved    clock.Millis              // when speeds were last inferred
 	inFlight      *inFlightWrite            // nil if none
 	seq           int                       // number of the last write
@@ -79,6 +81,8 @@
 		p.applyConfig(m.Config)
 	case JobMsg:
 		p.addJob(m)
+	case SpeedsMsg:
+		p.applySpeeds(m)
 	case CancelMsg:
 		p.cancel(m.ID)
 	case LinkMsg:
--- a/core/plan/speed.go
+++ b/core/plan/speed.go
@@ -261,9 +261,54 @@
 		p.speeds.Forget(w.node)
 	}
 	p.speedKinds[w.node] = w.kind
-	if m.SpeedWeight > 0 {
-		p.speeds.Restore(p.now.Monotonic, w.node, speed.Figure{Factor: float64(m.SpeedPermille) / 1000, Weight: float64(m.SpeedWeight)})
+	permille, weight := m.SpeedPermille, m.SpeedWeight
+	if s, ok := p.storedSpeeds[w.node]; ok && s.Kind == w.kind && s.Weight > weight {
+		permille, weight = s.Permille, s.Weight
 	}
+	p.speeds.Restore(p.now.Monotonic, w.node, speed.Figure{Factor: float64(permille) / 1000, Weight: float64(weight)})
+}
+
+// StoredSpeed is what the store keeps of a worker's speed.
+type StoredSpeed struct {
+	Node     string `json:"host"`
+	Kind     string `json:"kind,omitempty"`
+	Permille int    `json:"permille"` // how many times as long tasks take, times 1000
+	Weight   int    `json:"weight"`   // inverse variance of its logarithm
+}
+
+// SpeedsMsg brings the speeds that an earlier planner stored.
+type SpeedsMsg struct{ Speeds []StoredSpeed }
+
+// applySpeeds takes over stored speeds. They serve where sides have lost theirs.
+func (p *Planner) applySpeeds(m SpeedsMsg) {
+	p.storedSpeeds = make(map[string]StoredSpeed, len(m.Speeds))
+	for _, s := range m.Speeds {
+		p.storedSpeeds[s.Node] = s
+	}
+}
+
+const (
+	// speedsInterval is how often speeds are stored at most.
+	speedsInterval = 8 * clock.Second
+	// maxStoredSpeeds bounds the speeds that are stored.
+	maxStoredSpeeds = 1000
+)
+
+// speedsToStore returns the speeds of all workers of which something is known, if
+// it is time to store them; they go with a write of progress, so that they take no
+// call of their own.
+func (p *Planner) speedsToStore() []StoredSpeed {
+	if !p.uneven() || p.storedAt > 0 && p.now.Monotonic-p.storedAt < speedsInterval {
+		return nil
+	}
+	p.storedAt = p.now.Monotonic
+	var out []StoredSpeed
+	for _, w := range p.sortedWorkers() {
+		if permille, weight := p.speedFor(w); weight > 0 && len(out) < maxStoredSpeeds {
+			out = append(out, StoredSpeed{w.node, w.kind, permille, weight})
+		}
+	}
+	return out
 }
 
 // speedFor returns what a side keeps of its worker's speed.
@@ -326,7 +371,7 @@
 // Penalties in the cost of a placement, in cores per unit of the factor, or in
 // cores.
 const (
-	paceCost     = 60   // of a slower worker, for tight work
+	paceCost     = 200  // of a slower worker, for tight work
 	fastRoomCost = 300  // of a faster worker, for work that can wait
 	unlikeCost   = 100  // of a faster worker in a gang that another one holds back
 	lateCost     = 1000 // of a worker on which the job is expected to be late
--- a/core/plan/write.go
+++ b/core/plan/write.go
@@ -47,14 +47,14 @@
 	if p.inFlight != nil || len(p.dirty) == 0 {
 		return
 	}
-	n, ops := 0, 1 // one operation is the condition on the planner key
+	n, ops := 0, 2 // the condition on the planner key, and the put of speeds
 	for n < len(p.dirty) && ops+p.dirty[n].txnOps() <= maxTxnOps {
 		ops += p.dirty[n].txnOps()
 		n++
 	}
 	p.seq++
 	next := &inFlightWrite{seq: p.seq, jobs: slices.Clone(p.dirty[:n])}
-	write := &Write{Seq: p.seq}
+	write := &Write{Seq: p.seq, Speeds: p.speedsToStore()}
 	for _, j := range next.jobs {
 		r := Record{ID: j.ID, Rev: j.rev}
 		if !j.removing {
--- a/core/speed/speed.go
+++ b/core/speed/speed.go
@@ -10,6 +10,7 @@
 package speed
 
 import (
+	"maps"
 	"math"
 	"slices"
 
@@ -32,6 +33,8 @@
 	queueSteps = 50
 	// maxWeight bounds what is known of a worker, so that it can change.
 	maxWeight = 1 / (0.06 * 0.06)
+	// maxRestoredWeight bounds what is taken over from an earlier planner.
+	maxRestoredWeight = 1 / (0.1 * 0.1)
 	// driftPerHour is the variance that a factor gains in an hour without runs.
 	driftPerHour = 0.02
 	// fullWeightWithin and noWeightBeyond, in standard deviations, are where a message
@@ -76,14 +79,14 @@
 	return 1 / math.Sqrt(f.Weight)
 }
 
-// Credible returns the factor to plan with: half a standard deviation beyond the
-// most likely one.
+// Credible returns the factor to plan with: a standard deviation beyond the most
+// likely one.
 func (f Figure) Credible() float64 {
 	factor := f.Factor
 	if !f.Known() {
 		factor = 1
 	}
-	return factor * math.Exp(f.Deviation()/2)
+	return factor * math.Exp(f.Deviation())
 }
 
 // valid reports whether a figure that came from elsewhere can be used.
@@ -185,14 +188,15 @@
 	m.dirty = true
 }
 
-// Restore sets what an earlier planner knew of a worker, unless more is known here.
+// Restore sets what an earlier planner knew of a worker, unless a run was observed
+// on it or more is known already.
 func (m *Model) Restore(now clock.Millis, name string, f Figure) {
 	if !f.valid() {
 		return
 	}
 	w := m.worker(name)
-	weight := min(f.Weight, maxWeight)
-	if weight <= w.total.weight {
+	weight := min(f.Weight, maxRestoredWeight)
+	if w.runs > 0 || weight <= w.total.weight {
 		return
 	}
 	w.base = normal(math.Log(f.Factor), 1/weight)
@@ -459,29 +463,38 @@
 	q.variance += (d*d - q.variance) / q.n
 }
 
-// Workers that differ by less than minDifference, or of which less is known than
-// maxDeviation, don't show that a fleet is uneven.
 const (
-	minDifference = 0.2
-	maxDeviation  = 0.2
-	beyondDoubt   = 2.0 // in standard deviations, of each of the two
+	// minKnown is how many workers must be known before they can count as uneven.
+	minKnown = 4
+	// maxDeviation is how little is known of a worker that does not count.
+	maxDeviation = 0.25
+	// unevenVariance is the variance of the factors of workers that are known, in
+	// terms of what the uncertainty of each explains, from which they are uneven.
+	unevenVariance = 4.0
+	// minSpread is the least standard deviation of factors that counts.
+	minSpread = 0.12
 )
 
-// differ reports whether two workers are surely slower than two others.
+// differ reports whether the factors of workers differ by more than can be
+// explained by how little is known of them.
 func (m *Model) differ() bool {
-	var least, most []float64 // credible bounds of the factors that are known
-	for _, w := range m.workers {
-		d := math.Sqrt(w.total.variance())
-		if d > maxDeviation {
-			continue
+	var known belief
+	var factors []belief
+	for _, name := range slices.Sorted(maps.Keys(m.workers)) {
+		if t := m.workers[name].total; t.variance() <= maxDeviation*maxDeviation {
+			factors = append(factors, t)
+			known = known.plus(t)
 		}
-		least = append(least, w.total.mean()-beyondDoubt*d)
-		most = append(most, w.total.mean()+beyondDoubt*d)
 	}
-	if len(least) < 4 {
+	if len(factors) < minKnown {
 		return false
 	}
-	slices.Sort(least)
-	slices.Sort(most)
-	return least[len(least)-2]-most[1] > minDifference
+	explained, variance := 0.0, 0.0
+	for _, f := range factors {
+		d := f.mean() - known.mean()
+		explained += d * d * f.weight
+		variance += d * d
+	}
+	n := float64(len(factors) - 1)
+	return explained/n > unevenVariance && math.Sqrt(variance/n) > minSpread
 }
--- a/io/steer/term.go
+++ b/io/steer/term.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"strconv"
 	"sync/atomic"
 	"time"
@@ -65,6 +66,7 @@
 	if c := s.Config.Get(); c != nil {
 		t.loop.Send(plan.ConfigMsg{Config: c})
 	}
+	t.loop.Send(s.storedSpeeds())
 	unlisten := s.Index.Listen(t.send)
 	renewing, stop := context.WithCancel(ctx)
 	go t.runRenew(renewing)
@@ -85,6 +87,20 @@
 	s.Log.Info("planner_stepped_down", "epoch", t.epoch, "reason", reason)
 }
 
+// storedSpeeds returns the speeds of workers that an earlier planner stored.
+func (s *Coordinator) storedSpeeds() plan.SpeedsMsg {
+	var m plan.SpeedsMsg
+	kv, ok := s.Mirror.Get(store.SpeedsKey)
+	if !ok {
+		return m
+	}
+	if err := json.Unmarshal(kv.Value, &m.Speeds); err != nil {
+		s.Log.Warn("stored_speeds_unreadable", "revision", kv.Rev, "error", err)
+		return plan.SpeedsMsg{}
+	}
+	return m
+}
+
 // send passes messages of the index to the loop, for as long as the term lasts.
 func (t *term) send(msg any) {
 	if !t.closing.Load() {
@@ -263,6 +279,13 @@
 			}
 			txn.Put = append(txn.Put, store.Item{Key: key, Value: raw})
 		}
+		if len(w.Speeds) > 0 {
+			raw, err := json.Marshal(w.Speeds)
+			if err != nil {
+				return lostMsg{err.Error()}
+			}
+			txn.Put = append(txn.Put, store.Item{Key: store.SpeedsKey, Value: raw})
+		}
 		res, err := store.CommitWithRetry(ctx, t.coord.Store, txn, 0)
 		if ctx.Err() != nil {
 			return nil
--- a/io/store/keys.go
+++ b/io/store/keys.go
@@ -6,6 +6,7 @@
 const (
 	Root         = "gypsumcrank/"
 	PlannerKey   = Root + "planner"
+	SpeedsKey    = Root + "speeds"
 	frontRoot    = Root + "front/"
 	jobRoot      = Root + "job/"
 	cancelRoot   = Root + "cancel/"
