--- a/cmd/gypsumcrank/front.go
+++ b/cmd/gypsumcrank/front.go
@@ -24,7 +24,8 @@
 
 type frontCmd struct {
 	platformFlags
-	Announce string `env:"GYPSUMCRANK_ANNOUNCE" help:"IP and port that other processes connect to, if they differ from those where this front listens."`
+	Announce     string `env:"GYPSUMCRANK_ANNOUNCE" help:"IP and port that other processes connect to, if they differ from those where this front listens."`
+	WorkerSpeeds bool   `env:"GYPSUMCRANK_WORKER_SPEEDS" default:"true" negatable:"" help:"Learn how fast workers are, and place work by it."`
 }
 
 // frontDaemon is the process of a front, with all its services.
@@ -42,12 +43,13 @@
 	seeds        atomic.Pointer[[]string] // addresses of possible other fronts, from the settings
 	leaving      atomic.Bool
 	metricsAddr  string // address where metrics are served; none if empty
+	workerSpeeds bool   // placement takes the speeds of workers into account
 	announced    string // address at which other processes reach this front
 }
 
 func newFrontDaemon(settings platform.Settings, announce string, log *slog.Logger) *frontDaemon {
 	direct := platform.NewKV(settings.Store)
-	d := &frontDaemon{settings: settings, log: log, config: &route.Current{}, announced: announce}
+	d := &frontDaemon{settings: settings, log: log, config: &route.Current{}, announced: announce, workerSpeeds: true}
 	if d.announced == "" {
 		d.announced = settings.Link
 	}
@@ -59,7 +61,7 @@
 	d.configMirror = &mirror.Mirror{Prefix: platform.ConfigRoot, Store: d.store, Log: log, OnChange: d.applyConfig, MaxDelay: settings.ConfigDelay}
 	d.config.Freshness = d.configMirror.Freshness
 	d.steer = &steer.Coordinator{
-		Node: settings.Node, Addr: settings.Link, Announce: d.announced, Store: d.store, Mirror: d.jobMirror, Index: d.index, Config: d.config, Plan: planSettings(settings), LeaseMin: settings.LeaseMin, Log: log,
+		Node: settings.Node, Addr: settings.Link, Announce: d.announced, Store: d.store, Mirror: d.jobMirror, Index: d.index, Config: d.config, Plan: d.planSettings(settings), LeaseMin: settings.LeaseMin, Log: log,
 		ServePeer: func(c *link.Conn, first link.Frame) { relay.Serve(c, direct, d.jobMirror.ExpectRevision, first) },
 		OnJobEnd:  d.notifyFronts,
 	}
@@ -102,8 +104,9 @@
 }
 
 // planSettings derives the planner's settings from the platform's bounds.
-func planSettings(bounds platform.Settings) plan.Settings {
+func (d *frontDaemon) planSettings(bounds platform.Settings) plan.Settings {
 	p := plan.DefaultSettings()
+	p.LearnSpeeds = d.workerSpeeds
 	if bounds.Hold > 0 {
 		p.MaxLease = bounds.Hold - bounds.Hold/leaseMarginDivisor
 	}
@@ -133,7 +136,7 @@
 	go d.runRegistration(serving)
 	settingsReloader := &reloader{lastRead: d.settings, log: d.log, apply: func(settings platform.Settings) {
 		d.seeds.Store(&settings.Peers)
-		d.steer.SetPlanSettings(planSettings(settings))
+		d.steer.SetPlanSettings(d.planSettings(settings))
 		d.configMirror.SetMaxDelay(settings.ConfigDelay)
 	}}
 	go settingsReloader.run(serving)
--- a/cmd/gypsumcrank/platform.go
+++ b/cmd/gypsumcrank/platform.go
@@ -70,6 +70,10 @@
 	defer stop()
 	d := newFrontDaemon(settings, c.Announce, log.With("process", settings.Node))
 	d.metricsAddr = c.MetricsListen
+	if !c.WorkerSpeeds {
+		d.workerSpeeds = false
+		d.steer.SetPlanSettings(d.planSettings(settings))
+	}
 	return d.run(ctx)
 }
 
--- a/core/plan/booking.go
+++ b/core/plan/booking.go
@@ -43,7 +43,7 @@
 	u := r.first()
 	var best *evictionPlan
 	try := func(workers []*worker, wait clock.Millis, extra float64) {
-		e := p.planEviction(s, r, p.fastEnough(s, r, workers), wait)
+		e := p.planFastEviction(s, r, workers, wait)
 		if e == nil {
 			return
 		}
--- a/core/plan/place.go
+++ b/core/plan/place.go
@@ -189,11 +189,16 @@
 	return clock.Millis((p.Settings.CrossRackFactor - 1) * float64(p.expectedDuration(u.job, u.name.Step)))
 }
 
+// joinTime is how long after the start of a planner all workers have joined that
+// will join soon.
+const joinTime = 2 * clock.Second
+
 // mayCrossRacks reports whether a request has waited long enough for the right
 // rack, or could not run on a single rack even if one were empty.
 func (p *Planner) mayCrossRacks(s *snapshot, r *request) bool {
 	u := r.first()
-	if u.step.SameRack && len(r.units) > 1 && !s.fitsOneEmptyRack(r) {
+	settled := r.guaranteed || p.now.Monotonic-p.started > joinTime // before, workers may not have joined yet
+	if u.step.SameRack && len(r.units) > 1 && settled && !s.fitsOneEmptyRack(r) {
 		return true
 	}
 	return p.now.Monotonic-r.waitingSince >= p.crossRackDelay(u)
@@ -271,10 +276,10 @@
 	return c, true
 }
 
-// fitLevels places a gang of tight work on workers up to each level of speed, as it
+// fitLevels places a gang on workers up to each level of speed, as it
 // is as slow as the slowest of them, and returns the cheapest placement.
 func (p *Planner) fitLevels(s *snapshot, r *request, workers []*worker, d demand) (placement, bool) {
-	if len(r.units) == 1 || !d.aware || !d.tight() {
+	if len(r.units) == 1 || !d.aware {
 		return p.fit(s, r, workers, d)
 	}
 	var best placement
--- a/core/plan/plan.go
+++ b/core/plan/plan.go
@@ -57,6 +57,7 @@
 	speeds        speed.Model               // by host
 	speedKinds    map[string]string         // kind of the worker of each host
 	storedSpeeds  map[string]StoredSpeed    // by host, of an earlier planner
+	speedsJoined  bool                      // workers have joined since speeds were last inferred
 	storedAt      clock.Millis              // when speeds were last written
 	lastSolved    clock.Millis              // when speeds were last inferred
 	inFlight      *inFlightWrite            // nil if none
@@ -100,6 +101,7 @@
 		p.changed = false
 		p.lastScheduled = p.now.Monotonic
 		clear(p.totals)
+		p.solveSpeeds()
 		p.schedule()
 	}
 	p.flush()
--- a/core/plan/sched.go
+++ b/core/plan/sched.go
@@ -16,6 +16,7 @@
 	expiry       clock.Millis // monotonic time after which its job is worth nothing
 	expired      bool         // expiry has passed
 	guaranteed   bool         // within its account's guarantee
+	fastOnly     bool         // only workers on which its job ends in time are of use
 }
 
 func (r *request) job() *job     { return r.units[0].job }
--- a/core/plan/speed.go
+++ b/core/plan/speed.go
@@ -160,11 +160,13 @@
 	return n.String()
 }
 
-// solveSpeeds infers factors at most every speedInterval.
+// solveSpeeds infers factors at most every speedInterval, or if workers have joined
+// since.
 func (p *Planner) solveSpeeds() {
-	if p.now.Monotonic-p.lastSolved < speedInterval {
+	if !p.speedsJoined && p.now.Monotonic-p.lastSolved < speedInterval {
 		return
 	}
+	p.speedsJoined = false
 	p.lastSolved = p.now.Monotonic
 	p.speeds.Solve(p.now.Monotonic)
 	p.logSpeeds()
@@ -257,15 +259,18 @@
 
 // restoreSpeed takes over what a worker's side was told by an earlier planner.
 func (p *Planner) restoreSpeed(w *worker, m ReportMsg) {
-	if old := p.speedKinds[w.node]; old != "" && old != w.kind {
-		p.speeds.Forget(w.node)
+	old, known := p.speedKinds[w.node]
+	if known && old == w.kind {
+		return
 	}
+	p.speeds.Forget(w.node)
 	p.speedKinds[w.node] = w.kind
 	permille, weight := m.SpeedPermille, m.SpeedWeight
 	if s, ok := p.storedSpeeds[w.node]; ok && s.Kind == w.kind && s.Weight > weight {
 		permille, weight = s.Permille, s.Weight
 	}
-	p.speeds.Restore(p.now.Monotonic, w.node, speed.Figure{Factor: float64(permille) / 1000, Weight: float64(weight)})
+	p.speedsJoined = true
+	p.speeds.Join(p.now.Monotonic, w.node, speed.Figure{Factor: float64(permille) / 1000, Weight: float64(weight)})
 }
 
 // StoredSpeed is what the store keeps of a worker's speed.
@@ -322,7 +327,7 @@
 
 // startOverhead is the time between the decision to start a task and its work,
 // and between its end and the news of it.
-const startOverhead = 150 * clock.Millisecond
+const startOverhead = 200 * clock.Millisecond
 
 // tolerance returns how many times as long as on a usual worker the rest of a
 // request's job may take to end in time; if that can't be met on any worker, to
@@ -373,7 +378,7 @@
 const (
 	paceCost     = 200  // of a slower worker, for tight work
 	fastRoomCost = 300  // of a faster worker, for work that can wait
-	unlikeCost   = 100  // of a faster worker in a gang that another one holds back
+	unlikeCost   = 150  // of a worker in a gang that another one holds back, per unit of its idle time
 	lateCost     = 1000 // of a worker on which the job is expected to be late
 )
 
@@ -407,20 +412,21 @@
 
 // cost returns the part of a placement's cost that depends on a worker's speed.
 func (d demand) cost(w *worker) float64 {
-	switch {
-	case !d.aware:
+	if !d.aware {
 		return 0
-	case !d.tight():
-		return fastRoomCost * (d.slowest - w.credible)
 	}
 	slowness, cost := w.credible, 0.0
 	if d.level > 0 {
 		slowness = max(slowness, d.level)
-		cost = unlikeCost * (slowness - w.credible)
+		cost = unlikeCost * (slowness/w.credible - 1)
 	}
-	cost += paceCost * slowness
-	if slowness > d.tolerance {
-		cost += lateCost + paceCost*slowness
+	switch {
+	case !d.tight():
+		cost += fastRoomCost * (d.slowest - slowness)
+	case slowness > d.tolerance:
+		cost += lateCost + 2*paceCost*slowness
+	default:
+		cost += paceCost * slowness
 	}
 	return cost
 }
@@ -453,17 +459,43 @@
 	return out
 }
 
-// fastEnough returns the workers on which a request's job ends in time, or all
-// workers if there are none.
-func (p *Planner) fastEnough(s *snapshot, r *request, workers []*worker) []*worker {
+// planFastEviction plans an eviction on the workers on which a request's job ends in
+// time, or on all workers if that fails.
+func (p *Planner) planFastEviction(s *snapshot, r *request, workers []*worker, wait clock.Millis) *evictionPlan {
 	d := p.newDemand(s, r)
 	if !d.aware || !d.tight() {
-		return workers
+		return p.planEviction(s, r, workers, wait)
+	}
+	fast := upTo(workers, d.tolerance)
+	if e := p.planEviction(s, r, fast, wait); e != nil && !(r.fastOnly && r.first().step.SameRack && spansRacks(e.targets)) {
+		return e
+	}
+	if r.fastOnly || len(fast) == len(workers) {
+		return nil
 	}
-	if fast := upTo(workers, d.tolerance); len(fast) > 0 {
-		return fast
+	e := p.planEviction(s, r, workers, wait)
+	if e != nil {
+		e.cost += p.slowWork(r, e.targets)
 	}
-	return workers
+	return e
+}
+
+// slowWork returns the weighted extra work of running a request on slow workers.
+func (p *Planner) slowWork(r *request, targets []*worker) float64 {
+	u, slowest := r.first(), 1.0
+	for _, w := range targets {
+		slowest = max(slowest, w.credible)
+	}
+	return latenessWeight * float64(len(r.units)) * (slowest - 1) * float64(p.expectedDuration(u.job, u.name.Step)) * u.step.Need.Cores()
+}
+
+func spansRacks(targets []*worker) bool {
+	for _, w := range targets {
+		if w.rack != targets[0].rack {
+			return true
+		}
+	}
+	return false
 }
 
 // holdForFaster reports whether an urgent request is kept waiting for faster
@@ -488,11 +520,16 @@
 	if !late {
 		return false
 	}
-	if r.first().reservedOn != nil {
-		return p.useReservation(s, r)
+	if p.useReservation(s, r) {
+		return true
+	}
+	for _, u := range r.units {
+		u.reservedOn = nil
 	}
 	if p.needsResourcesNow(r) {
+		r.fastOnly = true
 		p.evictFor(s, r)
+		r.fastOnly = false
 	}
 	return r.first().reservedOn != nil
 }
--- a/core/speed/speed.go
+++ b/core/speed/speed.go
@@ -99,10 +99,11 @@
 
 func normal(mean, variance float64) belief { return belief{1 / variance, mean / variance} }
 
-func (b belief) plus(o belief) belief  { return belief{b.weight + o.weight, b.sum + o.sum} }
-func (b belief) minus(o belief) belief { return belief{b.weight - o.weight, b.sum - o.sum} }
-func (b belief) mean() float64         { return b.sum / b.weight }
-func (b belief) variance() float64     { return 1 / b.weight }
+func (b belief) plus(o belief) belief      { return belief{b.weight + o.weight, b.sum + o.sum} }
+func (b belief) minus(o belief) belief     { return belief{b.weight - o.weight, b.sum - o.sum} }
+func (b belief) shifted(by float64) belief { return belief{b.weight, b.sum + by*b.weight} }
+func (b belief) mean() float64             { return b.sum / b.weight }
+func (b belief) variance() float64         { return 1 / b.weight }
 
 // damp lowers a message's weight by how far it is from what all others say.
 func (b belief) damp(others belief) belief {
@@ -188,13 +189,13 @@
 	m.dirty = true
 }
 
-// Restore sets what an earlier planner knew of a worker, unless a run was observed
-// on it or more is known already.
-func (m *Model) Restore(now clock.Millis, name string, f Figure) {
+// Join adds a worker with what an earlier planner knew of it, if anything. That
+// does not count if a run was observed on it or more is known already.
+func (m *Model) Join(now clock.Millis, name string, f Figure) {
+	w := m.worker(name)
 	if !f.valid() {
 		return
 	}
-	w := m.worker(name)
 	weight := min(f.Weight, maxRestoredWeight)
 	if w.runs > 0 || weight <= w.total.weight {
 		return
@@ -343,9 +344,33 @@
 		}
 	}
 	m.forget(now)
+	m.centre()
 	m.uneven = m.differ()
 }
 
+// centre keeps the mean of all factors at 1: nothing else tells factors apart from
+// the bias of all queues, and both would drift.
+func (m *Model) centre() {
+	sum := 0.0
+	for _, w := range m.workers {
+		sum += w.total.mean()
+	}
+	shift := sum / float64(max(1, len(m.workers)))
+	for _, w := range m.workers {
+		if w.total.weight > 1/(fleetSpread*fleetSpread) {
+			w.base, w.total = w.base.shifted(-shift), w.total.shifted(-shift)
+		}
+	}
+	for _, s := range m.steps {
+		for name, message := range s.toWorker {
+			s.toWorker[name] = message.shifted(-shift)
+		}
+	}
+	for _, q := range m.queues {
+		q.mean += shift
+	}
+}
+
 // passMessages updates what one step says of its workers.
 func (m *Model) passMessages(s *step, groups []group) {
 	said := make([]belief, len(groups))
@@ -470,9 +495,10 @@
 	maxDeviation = 0.25
 	// unevenVariance is the variance of the factors of workers that are known, in
 	// terms of what the uncertainty of each explains, from which they are uneven.
-	unevenVariance = 4.0
-	// minSpread is the least standard deviation of factors that counts.
-	minSpread = 0.12
+	unevenVariance = 3.5
+	// sharedError is the standard deviation of errors that several workers share,
+	// because they ran the same steps.
+	sharedError = 0.1
 )
 
 // differ reports whether the factors of workers differ by more than can be
@@ -489,12 +515,10 @@
 	if len(factors) < minKnown {
 		return false
 	}
-	explained, variance := 0.0, 0.0
+	explained := 0.0
 	for _, f := range factors {
 		d := f.mean() - known.mean()
-		explained += d * d * f.weight
-		variance += d * d
+		explained += d * d / (f.variance() + sharedError*sharedError)
 	}
-	n := float64(len(factors) - 1)
-	return explained/n > unevenVariance && math.Sqrt(variance/n) > minSpread
+	return explained/float64(len(factors)-1) > unevenVariance
 }
