--- a/core/plan/plan.go
+++ b/core/plan/plan.go
@@ -56,7 +56,7 @@
 	durations     map[string]*durationStats // by queue
 	speeds        speed.Model               // by host
 	speedKinds    map[string]string         // kind of the worker of each host
-	storedSpeeds  map[string]StoredSpeed    // by host, of an earlier planner
+	sidesHeard    map[string]bool           // hosts whose side has said what it kept
 	speedsJoined  bool                      // workers have joined since speeds were last inferred
 	storedAt      clock.Millis              // when speeds were last written
 	lastSolved    clock.Millis              // when speeds were last inferred
@@ -138,6 +138,7 @@
 	p.byNode = make(map[string]*worker)
 	p.durations = make(map[string]*durationStats)
 	p.speedKinds = make(map[string]string)
+	p.sidesHeard = make(map[string]bool)
 	p.totals = make(map[string]task.Resources)
 	p.awaited = make(map[*unit]bool)
 }
--- a/core/plan/speed.go
+++ b/core/plan/speed.go
@@ -257,20 +257,22 @@
 	return f
 }
 
-// restoreSpeed takes over what a worker's side was told by an earlier planner.
+// restoreSpeed takes over what a worker's side was told by an earlier planner. A
+// worker of another kind on the same host is another worker.
 func (p *Planner) restoreSpeed(w *worker, m ReportMsg) {
-	old, known := p.speedKinds[w.node]
-	if known && old == w.kind {
-		return
+	kind, known := p.speedKinds[w.node]
+	if known && kind != w.kind {
+		p.speeds.Forget(w.node)
 	}
-	p.speeds.Forget(w.node)
-	p.speedKinds[w.node] = w.kind
-	permille, weight := m.SpeedPermille, m.SpeedWeight
-	if s, ok := p.storedSpeeds[w.node]; ok && s.Kind == w.kind && s.Weight > weight {
-		permille, weight = s.Permille, s.Weight
+	if known && kind == w.kind && p.sidesHeard[w.node] {
+		return
 	}
-	p.speedsJoined = true
-	p.speeds.Join(p.now.Monotonic, w.node, speed.Figure{Factor: float64(permille) / 1000, Weight: float64(weight)})
+	p.speedKinds[w.node], p.sidesHeard[w.node], p.speedsJoined = w.kind, true, true
+	p.speeds.Join(p.now.Monotonic, w.node, figure(m.SpeedPermille, m.SpeedWeight))
+}
+
+func figure(permille, weight int) speed.Figure {
+	return speed.Figure{Factor: float64(permille) / 1000, Weight: float64(weight)}
 }
 
 // StoredSpeed is what the store keeps of a worker's speed.
@@ -286,9 +288,11 @@
 
 // applySpeeds takes over stored speeds. They serve where sides have lost theirs.
 func (p *Planner) applySpeeds(m SpeedsMsg) {
-	p.storedSpeeds = make(map[string]StoredSpeed, len(m.Speeds))
 	for _, s := range m.Speeds {
-		p.storedSpeeds[s.Node] = s
+		if _, known := p.speedKinds[s.Node]; !known {
+			p.speedKinds[s.Node], p.speedsJoined = s.Kind, true
+			p.speeds.Join(p.now.Monotonic, s.Node, figure(s.Permille, s.Weight))
+		}
 	}
 }
 
--- a/core/speed/speed.go
+++ b/core/speed/speed.go
@@ -491,34 +491,37 @@
 const (
 	// minKnown is how many workers must be known before they can count as uneven.
 	minKnown = 4
-	// maxDeviation is how little is known of a worker that does not count.
-	maxDeviation = 0.25
-	// unevenVariance is the variance of the factors of workers that are known, in
-	// terms of what the uncertainty of each explains, from which they are uneven.
-	unevenVariance = 3.5
+	// unevenSpread is the spread of factors that is weighed against none.
+	unevenSpread = 0.35
 	// sharedError is the standard deviation of errors that several workers share,
 	// because they ran the same steps.
-	sharedError = 0.1
+	sharedError = 0.15
+	// unevenEvidence is the logarithm of the likelihood ratio from which workers count
+	// as uneven; they do until it falls below 0.
+	unevenEvidence = 3.0
 )
 
-// differ reports whether the factors of workers differ by more than can be
-// explained by how little is known of them.
+// differ reports whether the runs are much likelier if the factors of workers
+// differ than if they don't.
 func (m *Model) differ() bool {
-	var known belief
-	var factors []belief
+	prior := normal(0, fleetSpread*fleetSpread)
+	var runs []belief // what runs say of each worker
+	var all belief
 	for _, name := range slices.Sorted(maps.Keys(m.workers)) {
-		if t := m.workers[name].total; t.variance() <= maxDeviation*maxDeviation {
-			factors = append(factors, t)
-			known = known.plus(t)
+		if said := m.workers[name].total.minus(prior); said.weight > prior.weight {
+			runs = append(runs, said)
+			all = all.plus(said)
 		}
 	}
-	if len(factors) < minKnown {
+	if len(runs) < minKnown {
 		return false
 	}
-	explained := 0.0
-	for _, f := range factors {
-		d := f.mean() - known.mean()
-		explained += d * d / (f.variance() + sharedError*sharedError)
+	evidence := 0.0
+	for _, said := range runs {
+		d := said.mean() - all.mean()
+		alike := said.variance() + sharedError*sharedError
+		uneven := alike + unevenSpread*unevenSpread
+		evidence += (d*d*(1/alike-1/uneven) - math.Log(uneven/alike)) / 2
 	}
-	return explained/float64(len(factors)-1) > unevenVariance
+	return evidence > unevenEvidence || m.uneven && evidence > 0
 }
