--- a/core/plan/fleet_test.go
+++ b/core/plan/fleet_test.go
@@ -36,6 +36,8 @@
 	// firstReportDelay is how long a worker takes to give its lists to a new planner.
 	firstReportDelay func() clock.Millis
 	slowdown         func(h *host) float64 // how many times as long the worker's tasks take
+	factors          map[string]float64    // how many times as long tasks take on each host, always; nil if hosts are alike
+	oldSides         bool                  // sides don't keep what the planner has learned of their workers
 	failsAtEnd       func(r *run) bool     // whether a run that has done its work ends failed
 	completed        map[string]bool       // tasks with a run that ended done
 	acknowledged     map[string]bool       // completed tasks whose end the planner acknowledged
--- a/core/plan/host_test.go
+++ b/core/plan/host_test.go
@@ -29,6 +29,8 @@
 	startedPartitioned bool // it was partitioned when this incarnation started
 	down               bool
 	nextReportAt       clock.Millis
+	speedPermille      int // of the last grant; reported to the next planner
+	speedWeight        int
 }
 
 type run struct {
@@ -51,7 +53,7 @@
 )
 
 func (h *host) baseReport() plan.ReportMsg {
-	return plan.ReportMsg{Node: h.node, Incarnation: h.incarnation, Service: h.service, Rack: h.rack, Capacity: h.resources}
+	return plan.ReportMsg{Node: h.node, Incarnation: h.incarnation, Service: h.service, Rack: h.rack, Capacity: h.resources, SpeedPermille: h.speedPermille, SpeedWeight: h.speedWeight}
 }
 
 // clock returns the worker's monotonic clock, which starts with its incarnation.
@@ -128,6 +130,9 @@
 		h.ends = h.ends[1:]
 	}
 	h.ackedThrough = max(h.ackedThrough, g.AckedThrough)
+	if !f.oldSides {
+		h.speedPermille, h.speedWeight = g.SpeedPermille, g.SpeedWeight
+	}
 }
 
 // step advances the worker's tasks by 1 ms and reports from time to time.
@@ -181,7 +186,7 @@
 		}
 		r.startedAt, r.slowdown = f.now, f.crossRackFactor(h, r)
 	}
-	r.work += 1 / (f.slowdown(h) * r.slowdown)
+	r.work += 1 / (f.slowdown(h) * r.slowdown * f.lastingFactor(h, r))
 	if f.fails != nil && f.fails(r.name, r.run, h) && f.now-r.startedAt > 100 {
 		h.end(name, plan.EndFailed)
 		f.endGang(r, plan.EndBroken)
@@ -217,6 +222,25 @@
 	return 1
 }
 
+// lastingFactor returns the factor of a run's worker, or of the slowest worker of its
+// gang; workers are alike unless factors are set.
+func (f *fleet) lastingFactor(h *host, r *run) float64 {
+	if f.factors == nil {
+		return 1
+	}
+	factor := f.factors[h.node]
+	if f.jobs[r.name.Job].Steps[r.name.Step].Gang {
+		for _, o := range f.hosts {
+			for _, m := range o.runs {
+				if sameRun(m, r) {
+					factor = max(factor, f.factors[o.node])
+				}
+			}
+		}
+	}
+	return factor
+}
+
 // sameRun reports whether two runs belong to the same run of a gang.
 func sameRun(a, b *run) bool {
 	return a.name.Job == b.name.Job && a.name.Step == b.name.Step && a.name.Occurrence == b.name.Occurrence && a.run == b.run
--- a/core/plan/sched.go
+++ b/core/plan/sched.go
@@ -196,7 +196,12 @@
 			urgent = append(urgent, r)
 		}
 	}
-	sort.SliceStable(urgent, func(i, j int) bool { return urgent[i].waitingSince < urgent[j].waitingSince })
+	sort.Slice(urgent, func(i, j int) bool {
+		if urgent[i].waitingSince != urgent[j].waitingSince {
+			return urgent[i].waitingSince < urgent[j].waitingSince
+		}
+		return urgent[i].first().name.Less(urgent[j].first().name)
+	})
 	for _, r := range urgent {
 		account := r.job().Account
 		need := len(r.units) * r.first().step.Need.Accelerators
--- a/core/plan/speed.go
+++ b/core/plan/speed.go
@@ -289,7 +289,8 @@
 // applySpeeds takes over stored speeds. They serve where sides have lost theirs.
 func (p *Planner) applySpeeds(m SpeedsMsg) {
 	for _, s := range m.Speeds {
-		if _, known := p.speedKinds[s.Node]; !known {
+		kind, known := p.speedKinds[s.Node]
+		if !known || kind == s.Kind {
 			p.speedKinds[s.Node], p.speedsJoined = s.Kind, true
 			p.speeds.Join(p.now.Monotonic, s.Node, figure(s.Permille, s.Weight))
 		}
--- a/io/steer/term.go
+++ b/io/steer/term.go
@@ -194,6 +194,14 @@
 	for key, n := range t.planner.TaskCounts() {
 		meter.Gauge("tasks", int64(n), key.Account, "priority_"+strconv.Itoa(key.Priority), key.Phase)
 	}
+	for _, name := range []string{"worker_factor_permille", "worker_factor_deviation_permille", "worker_factor_age_ms"} {
+		meter.ClearGauge(name)
+	}
+	for _, w := range t.planner.WorkerSpeeds() {
+		meter.Gauge("worker_factor_permille", int64(1000*w.Factor), w.Worker)
+		meter.Gauge("worker_factor_deviation_permille", int64(1000*w.Deviation), w.Worker)
+		meter.Gauge("worker_factor_age_ms", int64(w.Age), w.Worker)
+	}
 }
 
 // checkLease pauses starts while the lease may have expired, and tells the sides
