plan: evictions for faster workers are weighed against running slowly

An eviction for speed now costs less than the extra time on slow workers, in the same unit as a gang's crossing of racks.

--- a/core/plan/sched.go
+++ b/core/plan/sched.go
@@ -16,7 +16,7 @@
 	expiry       clock.Millis // monotonic time after which its job is worth nothing
 	expired      bool         // expiry has passed
 	guaranteed   bool         // within its account's guarantee
-	fastOnly     bool         // only workers on which its job ends in time are of use
+	slowWork     float64      // extra work of starting on slow workers now, 0 if that is no choice
 }
 
 func (r *request) job() *job     { return r.units[0].job }
--- a/core/plan/speed.go
+++ b/core/plan/speed.go
@@ -465,24 +465,27 @@
 }
 
 // planFastEviction plans an eviction on the workers on which a request's job ends in
-// time, or on all workers if that fails.
+// time, or on all workers if that costs less although the request runs longer there.
 func (p *Planner) planFastEviction(s *snapshot, r *request, workers []*worker, wait clock.Millis) *evictionPlan {
 	d := p.newDemand(s, r)
 	if !d.aware || !d.tight() {
 		return p.planEviction(s, r, workers, wait)
 	}
-	fast := upTo(workers, d.tolerance)
-	if e := p.planEviction(s, r, fast, wait); e != nil && !(r.fastOnly && r.first().step.SameRack && spansRacks(e.targets)) {
-		return e
+	fast := p.planEviction(s, r, upTo(workers, d.tolerance), wait)
+	if r.slowWork > 0 {
+		if fast != nil && (fast.cost >= r.slowWork || r.first().step.SameRack && spansRacks(fast.targets)) {
+			return nil
+		}
+		return fast
 	}
-	if r.fastOnly || len(fast) == len(workers) {
-		return nil
+	all := p.planEviction(s, r, workers, wait)
+	if all != nil {
+		all.cost += p.slowWork(r, all.targets)
 	}
-	e := p.planEviction(s, r, workers, wait)
-	if e != nil {
-		e.cost += p.slowWork(r, e.targets)
+	if fast == nil || all != nil && all.cost < fast.cost {
+		return all
 	}
-	return e
+	return fast
 }
 
 // slowWork returns the weighted extra work of running a request on slow workers.
@@ -532,9 +535,9 @@
 		u.reservedOn = nil
 	}
 	if p.needsResourcesNow(r) {
-		r.fastOnly = true
+		r.slowWork = p.slowWork(r, best.targets)
 		p.evictFor(s, r)
-		r.fastOnly = false
+		r.slowWork = 0
 	}
 	return r.first().reservedOn != nil
 }
