--- a/core/speed/speed.go
+++ b/core/speed/speed.go
@@ -23,7 +23,7 @@
 	// fleetSpread is the standard deviation of an unknown worker's factor.
 	fleetSpread = 0.4
 	// biasSpread is the standard deviation of a step's bias, before its queue is known.
-	biasSpread = 0.4
+	biasSpread = 0.5
 	// minBiasSpread and maxBiasSpread bound what is learned of a queue.
 	minBiasSpread = 0.15
 	maxBiasSpread = 0.7
@@ -102,6 +102,7 @@
 func (b belief) plus(o belief) belief      { return belief{b.weight + o.weight, b.sum + o.sum} }
 func (b belief) minus(o belief) belief     { return belief{b.weight - o.weight, b.sum - o.sum} }
 func (b belief) shifted(by float64) belief { return belief{b.weight, b.sum + by*b.weight} }
+func (b belief) scaled(by float64) belief  { return belief{b.weight * by, b.sum * by} }
 func (b belief) mean() float64             { return b.sum / b.weight }
 func (b belief) variance() float64         { return 1 / b.weight }
 
@@ -115,7 +116,7 @@
 		return b
 	}
 	scale := fullWeightWithin / z * (noWeightBeyond - z) / (noWeightBeyond - fullWeightWithin)
-	return belief{b.weight * scale, b.sum * scale}
+	return b.scaled(scale)
 }
 
 type worker struct {
@@ -303,6 +304,18 @@
 	return best
 }
 
+// candidates returns the members of a gang that may well be the slowest.
+func (g group) candidates(m *Model) []string {
+	least := m.worker(g.slowest(m)).total.mean()
+	var out []string
+	for _, w := range g.workers {
+		if t := m.worker(w).total; t.mean()+math.Sqrt(t.variance()) >= least {
+			out = append(out, w)
+		}
+	}
+	return out
+}
+
 // toStep returns what a group says of its step's bias.
 func (g group) toStep(m *Model, s *step) belief {
 	w := g.slowest(m)
@@ -396,12 +409,10 @@
 			next[g.workers[0]] = next[g.workers[0]].plus(message)
 			continue
 		}
-		slowest := g.slowest(m)
-		for _, w := range g.workers {
-			// The others are at most as slow as the gang.
-			if w == slowest || m.worker(w).total.mean() > message.mean() {
-				next[w] = next[w].plus(message)
-			}
+		// Any member that may be the slowest gets its share of the message.
+		candidates := g.candidates(m)
+		for _, w := range candidates {
+			next[w] = next[w].plus(message.scaled(1 / float64(len(candidates))))
 		}
 	}
 	for name, old := range s.toWorker {
@@ -458,7 +469,7 @@
 	if b.weight <= maxWeight {
 		return b
 	}
-	return belief{maxWeight, b.sum * maxWeight / b.weight}
+	return b.scaled(maxWeight / b.weight)
 }
 
 // retotal adds up what is known of each worker.
