--- a/io/side/find.go
+++ b/io/side/find.go
@@ -243,8 +243,8 @@
 	defer s.mu.Unlock()
 	if g.Epoch == s.epoch {
 		s.grant = g
-		if s.endpoint != nil && s.endpoint.Incarnation == g.Incarnation {
-			s.speedKind = s.endpoint.Kind
+		if g.SpeedWeight > 0 && s.endpoint != nil && s.endpoint.Incarnation == g.Incarnation {
+			s.speed = workerSpeed{s.endpoint.Kind, g.SpeedPermille, g.SpeedWeight}
 		}
 		s.notifyChanged()
 	}
--- a/io/side/side.go
+++ b/io/side/side.go
@@ -90,13 +90,20 @@
 	conn           *link.Conn      // to the planner, or nil
 	epoch          int64           // of the planner last connected to
 	grant          plan.Grant      // the last one
-	speedKind      string          // kind of the worker whose speed the last grant holds
+	speed          workerSpeed     // kept for the next planner
 	answeredOrders int64           // orders that the worker has answered or the side has refused
 	changed        chan struct{}   // closed by notifyChanged
 	cancel         context.CancelFunc
 	wg             sync.WaitGroup
 }
 
+// workerSpeed is what a planner has learned of the speed of the worker, which keeps
+// it as long as its kind stays the same.
+type workerSpeed struct {
+	kind             string
+	permille, weight int
+}
+
 // Start starts the search for the planner and the hold calls.
 func (s *Side) Start(context.Context, *kern.Kernel) error {
 	ctx, cancel := context.WithCancel(context.Background())
@@ -163,8 +170,8 @@
 		Node: s.Node, Incarnation: e.Incarnation, Service: e.Service, Kind: e.Kind, Rack: e.Rack,
 		Capacity: e.Capacity, Draining: e.Draining, Remaining: e.Remaining,
 	}
-	if s.speedKind == e.Kind {
-		r.SpeedPermille, r.SpeedWeight = s.grant.SpeedPermille, s.grant.SpeedWeight
+	if s.speed.kind == e.Kind {
+		r.SpeedPermille, r.SpeedWeight = s.speed.permille, s.speed.weight
 	}
 	return r
 }
--- a/io/side/side_test.go
+++ b/io/side/side_test.go
@@ -95,6 +95,22 @@
 	c.Check(s.grant.Until, qt.Equals, clock.Millis(100))
 }
 
+// The speed of a worker outlives its incarnation and a planner that knows no speeds.
+// A worker of another kind on the same host has another speed.
+func TestTheSpeedOfAWorkerIsKept(t *testing.T) {
+	c := qt.New(t)
+	s, _ := newSide()
+	s.epoch = 9
+	s.Heartbeat(Endpoint{Incarnation: incarnation(5), Kind: "a", Seq: 1})
+	s.applyGrant(plan.Grant{Epoch: 9, Incarnation: incarnation(5), SpeedPermille: 1670, SpeedWeight: 40})
+	s.applyGrant(plan.Grant{Epoch: 9, Incarnation: incarnation(5)})
+	next := s.newReport(Endpoint{Incarnation: incarnation(6), Kind: "a"})
+	c.Check(next.SpeedPermille, qt.Equals, 1670)
+	c.Check(next.SpeedWeight, qt.Equals, 40)
+	other := s.newReport(Endpoint{Incarnation: incarnation(7), Kind: "b"})
+	c.Check(other.SpeedWeight, qt.Equals, 0)
+}
+
 func TestQueryOfUnreachableFrontReturnsInTime(t *testing.T) {
 	s, _ := newSide()
 	s.Fronts = []string{"127.0.0.1:1"}
