--- a/core/plan/leave.go
+++ b/core/plan/leave.go
@@ -212,7 +212,7 @@
 	if u.baseAt > 0 {
 		since = u.baseAt
 	}
-	expected := p.expectedDuration(u.job, u.name.Step) * clock.Millis(100-u.basePercent) / 100
+	expected := clock.Millis(float64(p.expectedDuration(u.job, u.name.Step))*p.gangFactor(u)) * clock.Millis(100-u.basePercent) / 100
 	needs := expected - (p.now.Monotonic - since)
 	advanced, took := u.percent-u.basePercent, u.placedOn.lastReportAt-since
 	if took > 0 && (advanced >= minBaseProgress || advanced > 0 && u.basePercent == 0) {
--- a/core/plan/lists.go
+++ b/core/plan/lists.go
@@ -20,6 +20,7 @@
 	}
 	p.applyEnds(w, m.Ended)
 	p.applyRunning(w, m.Running)
+	p.observeWorker(w)
 	for _, u := range w.unlisted() {
 		switch {
 		case u.phase == inDoubt:
@@ -227,5 +228,6 @@
 	p.setBase(u, r.Percent, found)
 	if r.Percent != u.percent {
 		u.percent, u.progressedAt = r.Percent, p.now.Monotonic
+		p.observeProgress(u)
 	}
 }
--- a/core/plan/msg.go
+++ b/core/plan/msg.go
@@ -82,6 +82,9 @@
 	// worker's leases, and of the end of the worker's process.
 	Handover  *lease.Handover  `cbor:"18,keyasint,omitempty"`
 	Departure *lease.Departure `cbor:"19,keyasint,omitempty"`
+	// The speed of the worker that an earlier planner has learned, from its Grant.
+	SpeedPermille int `cbor:"16,keyasint,omitempty"`
+	SpeedWeight   int `cbor:"17,keyasint,omitempty"`
 }
 
 // LinkMsg reports that the connection to a side was made or lost.
@@ -152,12 +155,16 @@
 	Epoch        int64            `cbor:"2,keyasint"`
 	Until        clock.Millis     `cbor:"3,keyasint"` // on the worker's clock
 	AckedThrough int64            `cbor:"4,keyasint"` // ended runs up to this number are recorded
+	// What is known of the worker's speed; the side reports it to the next planner.
+	SpeedPermille int `cbor:"5,keyasint,omitempty"` // how many times as long tasks take, times 1000
+	SpeedWeight   int `cbor:"6,keyasint,omitempty"` // inverse variance of its logarithm
 }
 
 // Write is a set of progress records to store atomically.
 type Write struct {
 	Seq     int
 	Records []Record
+	Speeds  []StoredSpeed // of workers; nil if they are not to be stored now
 }
 
 // Record is the progress of one job. Nil progress deletes the job.
--- a/core/plan/place.go
+++ b/core/plan/place.go
@@ -35,6 +35,7 @@
 		}
 		s.workers = append(s.workers, w)
 		w.stalled = p.isStalled(w)
+		w.credible = p.credibleFactor(w)
 		s.free[w] = w.free()
 		s.freeSoon[w] = s.free[w]
 		for u := range w.pendingOrders {
@@ -162,8 +163,9 @@
 	u := r.first()
 	var best placement
 	found := false
+	d := p.newDemand(s, r)
 	try := func(workers []*worker, crossRack bool) {
-		c, ok := p.fit(s, r, workers)
+		c, ok := p.fitLevels(s, r, workers, d)
 		if !ok {
 			return
 		}
@@ -196,11 +198,16 @@
 	return clock.Millis((p.Settings.CrossRackFactor - 1) * float64(p.expectedDuration(u.job, u.name.Step)))
 }
 
+// joinTime is how long after the start of a planner all workers have joined that
+// will join soon.
+const joinTime = 2 * clock.Second
+
 // mayCrossRacks reports whether a request has waited long enough for the right
 // rack, or could not run on a single rack even if one were empty.
 func (p *Planner) mayCrossRacks(s *snapshot, r *request) bool {
 	u := r.first()
-	if u.step.SameRack && len(r.units) > 1 && !s.fitsOneEmptyRack(r) {
+	settled := r.guaranteed || p.now.Monotonic-p.started > joinTime // before, workers may not have joined yet
+	if u.step.SameRack && len(r.units) > 1 && settled && !s.fitsOneEmptyRack(r) {
 		return true
 	}
 	return p.now.Monotonic-r.waitingSince >= p.crossRackDelay(u)
@@ -251,7 +258,7 @@
 
 // fit assigns the tasks one by one, each to the worker with the lowest
 // placement cost.
-func (p *Planner) fit(s *snapshot, r *request, workers []*worker) (placement, bool) {
+func (p *Planner) fit(s *snapshot, r *request, workers []*worker, d demand) (placement, bool) {
 	c := placement{targets: make([]*worker, len(r.units))}
 	taken := make(map[*worker]task.Resources)
 	count := make(map[*worker]int)
@@ -263,7 +270,7 @@
 			if !p.allowed(w, u) || !u.need().Fits(free) || !belowWorkerLimit(w, u, count[w]) {
 				continue
 			}
-			if cost := placementCost(w, u, free); best == nil || cost < bestCost {
+			if cost := placementCost(w, u, free) + d.cost(w); best == nil || cost < bestCost {
 				best, bestCost = w, cost
 			}
 		}
@@ -278,6 +285,23 @@
 	return c, true
 }
 
+// fitLevels places a gang on workers up to each level of speed, as it
+// is as slow as the slowest of them, and returns the cheapest placement.
+func (p *Planner) fitLevels(s *snapshot, r *request, workers []*worker, d demand) (placement, bool) {
+	if len(r.units) == 1 || !d.aware {
+		return p.fit(s, r, workers, d)
+	}
+	var best placement
+	found := false
+	for _, level := range levels(workers) {
+		d.level = level
+		if c, ok := p.fit(s, r, upTo(workers, level), d); ok && (!found || c.cost < best.cost) {
+			best, found = c, true
+		}
+	}
+	return best, found
+}
+
 // belowWorkerLimit reports whether a worker may run one more task of u's step
 // besides its present and planned ones.
 func belowWorkerLimit(w *worker, u *unit, planned int) bool {
--- a/core/plan/plan.go
+++ b/core/plan/plan.go
@@ -14,6 +14,7 @@
 	"gypsumcrank/core/clock"
 	"gypsumcrank/core/fair"
 	"gypsumcrank/core/route"
+	"gypsumcrank/core/speed"
 	"gypsumcrank/core/task"
 )
 
@@ -32,6 +33,7 @@
 	MaxStopTime      clock.Millis // longest time that a stop takes
 	ReclaimLimit     clock.Millis // time within which guaranteed work must start
 	CrossRackFactor  float64      // how many times as long work takes on the wrong rack or across racks
+	LearnSpeeds      bool         // the speeds of workers are learned and placement takes them into account
 	// CloseDelay is the time after which nothing may start any more in a data centre
 	// that was closed; 0 if no data centre is ever closed.
 	CloseDelay clock.Millis
@@ -39,7 +41,7 @@
 
 // DefaultSettings returns settings for workers that accept leases of 6 s.
 func DefaultSettings() Settings {
-	return Settings{MaxLease: 5500, StaleGrantWindow: 8 * clock.Second, Retention: 180 * clock.Second, GangStartTimeout: 1500, MaxStopTime: 900, ReclaimLimit: 2700, CrossRackFactor: 3}
+	return Settings{MaxLease: 5500, StaleGrantWindow: 8 * clock.Second, Retention: 180 * clock.Second, GangStartTimeout: 1500, MaxStopTime: 900, ReclaimLimit: 2700, CrossRackFactor: 3, LearnSpeeds: true}
 }
 
 // Planner schedules tasks on workers. Set the exported fields before the first
@@ -56,6 +58,12 @@
 	byNode         map[string]*worker        // newest incarnation on each host
 	incarnations   int                       // worker incarnations ever seen
 	durations      map[string]*durationStats // by queue
+	speeds         speed.Model               // by host
+	speedKinds     map[string]string         // kind of the worker of each host
+	sidesHeard     map[string]bool           // hosts whose side has said what it kept
+	speedsJoined   bool                      // workers have joined since speeds were last inferred
+	storedAt       clock.Millis              // when speeds were last written
+	lastSolved     clock.Millis              // when speeds were last inferred
 	inFlight       *inFlightWrite            // nil if none
 	seq            int                       // number of the last write
 	awaited        map[*unit]bool            // tasks whose end a reservation relies on
@@ -87,6 +95,8 @@
 		p.applyConfig(m.Config)
 	case JobMsg:
 		p.addJob(m)
+	case SpeedsMsg:
+		p.applySpeeds(m)
 	case CancelMsg:
 		p.cancel(m.ID)
 	case LinkMsg:
@@ -106,6 +116,7 @@
 		p.changed = false
 		p.lastScheduled = p.now.Monotonic
 		clear(p.totals)
+		p.solveSpeeds()
 		p.schedule()
 	}
 	p.flush()
@@ -132,6 +143,8 @@
 	p.workers = make(map[task.Incarnation]*worker)
 	p.byNode = make(map[string]*worker)
 	p.durations = make(map[string]*durationStats)
+	p.speedKinds = make(map[string]string)
+	p.sidesHeard = make(map[string]bool)
 	p.totals = make(map[string]task.Resources)
 	p.awaited = make(map[*unit]bool)
 	p.reservations = make(map[stepKey]*reservation)
@@ -156,6 +169,7 @@
 	p.reportHold()
 	p.checkClosings()
 	p.checkLeaving()
+	p.solveSpeeds()
 	for _, j := range p.jobs {
 		p.addDueOccurrences(j)
 		p.removeExpired(j)
--- a/core/plan/sched.go
+++ b/core/plan/sched.go
@@ -19,6 +19,7 @@
 	guaranteed   bool         // within its account's guarantee
 	booked       bool         // it was placed, or its booking kept, ahead of its turn
 	rank         fair.Rank    // among the requests of its priority
+	slowWork     float64      // extra work of starting on slow workers now, 0 if that is no choice
 }
 
 func (r *request) job() *job     { return r.units[0].job }
@@ -56,6 +57,10 @@
 		if r.first().reservedOn == nil && blocked[key] {
 			continue
 		}
+		if p.holdForFaster(s, r) {
+			blocked[key] = r.first().reservedOn == nil
+			continue
+		}
 		if p.place(s, r) || p.placeOnKept(s, r) {
 			continue
 		}
@@ -194,7 +199,12 @@
 			urgent = append(urgent, r)
 		}
 	}
-	sort.SliceStable(urgent, func(i, j int) bool { return urgent[i].waitingSince < urgent[j].waitingSince })
+	sort.Slice(urgent, func(i, j int) bool {
+		if urgent[i].waitingSince != urgent[j].waitingSince {
+			return urgent[i].waitingSince < urgent[j].waitingSince
+		}
+		return urgent[i].first().name.Less(urgent[j].first().name)
+	})
 	for _, r := range urgent {
 		account := r.job().Account
 		need := len(r.units) * r.first().step.Need.Accelerators
--- a/core/plan/unit.go
+++ b/core/plan/unit.go
@@ -50,6 +50,7 @@
 	basePercent  int                       // progress at baseAt, from which the run's speed is measured
 	baseAt       clock.Millis              // 0 until the run is listed
 	confirmedAt  clock.Millis              // when the run was confirmed
+	pace         pace                      // progress as listed
 	avoid        map[task.Incarnation]bool // where it failed or was stalled
 	resumed      bool                      // the run started from a checkpoint
 	crossRack    bool                      // the run is away from its data, or its gang spans racks
@@ -66,6 +67,7 @@
 	u.startsSent, u.startInDoubt, u.answerSeq, u.orderSentAt, u.percent, u.confirmedAt, u.awaitedUntil, u.lent = 0, false, 0, 0, 0, 0, 0, false
 	u.basePercent, u.baseAt = 0, 0
 	u.stopWanted, u.mustListIn = false, 0
+	u.pace = pace{}
 	w.units[u] = true
 	w.byName[u.fullName] = u
 	w.used = w.used.Plus(u.need())
@@ -138,7 +140,7 @@
 		u.job.state = task.Running
 	}
 	p.markDirty(u.job)
-	p.emit(Event{Kind: "task_placed", Job: u.job.ID, Task: u.fullName, Worker: w.node, Run: run})
+	p.emit(Event{Kind: "task_placed", Job: u.job.ID, Task: u.fullName, Worker: w.node, Run: run, Detail: p.paceDetail(u, w)})
 }
 
 // abandonStart drops a start for which no order was sent.
--- a/io/side/find.go
+++ b/io/side/find.go
@@ -248,6 +248,9 @@
 	defer s.mu.Unlock()
 	if g.Epoch == s.epoch {
 		s.grant = g
+		if g.SpeedWeight > 0 && s.endpoint != nil && s.endpoint.Incarnation == g.Incarnation {
+			s.speed = workerSpeed{s.endpoint.Kind, g.SpeedPermille, g.SpeedWeight}
+		}
 		s.notifyChanged()
 	}
 }
