Fair order: sums of demand do not depend on the order of maps

Cause: shares were summed in the order of a map, so that an account was just over or just under its share by rounding. Change: tasks are counted first, and shares are summed in the order of names.

--- a/core/fair/fair.go
+++ b/core/fair/fair.go
@@ -11,6 +11,9 @@
 package fair
 
 import (
+	"maps"
+	"slices"
+
 	"gypsumcrank/core/clock"
 	"gypsumcrank/core/task"
 )
@@ -145,22 +148,23 @@
 // accounts make up most of it.
 func (c contest) overShare() map[string]bool {
 	sum, weights := 0.0, 0.0
-	for _, w := range c.weights {
-		weights += w
+	for _, account := range slices.Sorted(maps.Keys(c.weights)) {
+		weights += c.weights[account]
 	}
 	demand := c.demand.Mean(c.class)
-	for account, d := range demand {
-		sum += d
+	accounts := slices.Sorted(maps.Keys(demand)) // so that the sums don't depend on the order
+	for _, account := range accounts {
+		sum += demand[account]
 		if c.weights[account] == 0 {
 			weights += c.weight(account)
 		}
 	}
 	over := make(map[string]bool)
 	flood := 0.0
-	for account, d := range demand {
-		if d > tolerance*sum*c.weight(account)/weights {
+	for _, account := range accounts {
+		if d := demand[account]; d > tolerance*sum*c.weight(account)/weights {
 			over[account] = true
-			flood += d
+			flood += demand[account]
 		}
 	}
 	if sum < 1 || 2*flood < sum {
--- a/core/plan/shares.go
+++ b/core/plan/shares.go
@@ -1,11 +1,14 @@
 package plan
 
 import (
+	"cmp"
 	"fmt"
+	"maps"
 	"slices"
 
 	"gypsumcrank/core/clock"
 	"gypsumcrank/core/fair"
+	"gypsumcrank/core/task"
 )
 
 // demandInterval is how often the ledger of the accounts' demand is brought up to
@@ -18,14 +21,14 @@
 		return
 	}
 	p.demandAt = p.now.Monotonic
-	demand := make(map[fair.Class]map[string]float64)
-	add := func(u *unit, count int) {
-		class := classOf(u.job)
-		if demand[class] == nil {
-			demand[class] = make(map[string]float64)
-		}
-		demand[class][u.job.Account] += float64(count) * fair.DominantShare(u.need(), p.totalResources(u.job.Service))
+	// Counted before they are summed up, so that the sums don't depend on the order.
+	type kind struct {
+		class   fair.Class
+		account string
+		need    task.Resources
 	}
+	counts := make(map[kind]int)
+	add := func(u *unit, count int) { counts[kind{classOf(u.job), u.job.Account, u.need()}] += count }
 	for _, w := range p.workers {
 		for u := range w.units {
 			add(u, 1)
@@ -34,6 +37,16 @@
 	for _, r := range requests {
 		add(r.first(), len(r.units))
 	}
+	kinds := slices.SortedFunc(maps.Keys(counts), func(a, b kind) int {
+		return cmp.Or(cmp.Compare(a.account, b.account), cmp.Compare(a.need.MilliCPU, b.need.MilliCPU), cmp.Compare(a.need.MemoryMB, b.need.MemoryMB), cmp.Compare(a.need.Accelerators, b.need.Accelerators))
+	})
+	demand := make(map[fair.Class]map[string]float64)
+	for _, k := range kinds {
+		if demand[k.class] == nil {
+			demand[k.class] = make(map[string]float64)
+		}
+		demand[k.class][k.account] += float64(counts[k]) * fair.DominantShare(k.need, p.totalResources(k.class.Service))
+	}
 	p.demand.Update(p.now.Monotonic, demand)
 }
 
