--- a/core/plan/centre.go
+++ b/core/plan/centre.go
@@ -57,7 +57,7 @@
 // reportHold logs when starts begin and cease to be held.
 func (p *Planner) reportHold() {
 	c := &p.closings
-	switch held := p.startsHeld(); {
+	switch held := p.config != nil && p.startsHeld(); {
 	case held && c.heldSince == 0:
 		c.heldSince = p.now.Monotonic
 		p.emit(Event{Kind: "starts_held", Detail: "closed data centres last confirmed " + (p.now.Monotonic - c.confirmedAt).String() + " ago"})
