Fair order: of requests that have waited equally long the first in order ages

Seen: replays of account_flood with equal settings place floodj0105 or j0009 first. Cause: the oldest request was the first one in the order of a map. Now requests are in their usual order when they are ranked. Test: TestSpeedsChangeNoPlacementWhereWorkersAreAlike/account_flood, failed before.

--- a/core/plan/shares.go
+++ b/core/plan/shares.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"maps"
 	"slices"
+	"sort"
 
 	"gypsumcrank/core/clock"
 	"gypsumcrank/core/fair"
@@ -58,6 +59,8 @@
 	if !slices.ContainsFunc(requests, func(r *request) bool { return p.now.Monotonic-r.waitingSince >= fair.ShortAfter }) {
 		return
 	}
+	// Among requests that have waited equally long, the first one may age.
+	sort.SliceStable(requests, func(i, j int) bool { return requests[i].before(requests[j]) })
 	in := make([]fair.Request, len(requests))
 	for i, r := range requests {
 		in[i] = fair.Request{Class: classOf(r.job()), Account: r.job().Account, Since: r.waitingSince}
