Turning away: only what no worker can hold

What callers would have seen: jobs refused as hopeless that would have been served. Cause: the refusal took the work of more urgent priorities for a lower bound of the wait. Less urgent work runs on what that work leaves over, more so since reservations lend, so it bounds nothing. Change: the decision, its backlog figures and its Retry-After are taken out. What remains is certain: a task that needs more than any worker has had.

--- a/cmd/gypsumcrank/front.go
+++ b/cmd/gypsumcrank/front.go
@@ -115,14 +115,10 @@
 	d.desk.Update(f, clock.System().Monotonic(), clock.System().Now())
 }
 
-// admit decides about a job of a client account with the newest forecast.
-func (d *frontDaemon) admit(j *task.Job) (admit.Verdict, clock.Millis) {
-	guaranteed := false
-	if c := d.config.Get(); c != nil {
-		guaranteed = c.Accounts[j.Account].Accelerators > 0
-	}
+// admit decides about a job with the newest forecast.
+func (d *frontDaemon) admit(j *task.Job) (admit.Reason, clock.Millis) {
 	_, epoch := d.steer.Planner()
-	return d.desk.Decide(j, guaranteed, epoch, clock.System().Monotonic())
+	return d.desk.Decide(j, epoch, clock.System().Monotonic())
 }
 
 // peers returns the addresses of the other fronts.
--- a/core/admit/desk.go
+++ b/core/admit/desk.go
@@ -41,12 +41,12 @@
 
 // Decide decides about a job. Epoch is that of the present planner, 0 if there is none.
 // Age is how long ago the forecast arrived.
-func (d *Desk) Decide(j *task.Job, guaranteed bool, epoch int64, monotonic clock.Millis) (v Verdict, age clock.Millis) {
+func (d *Desk) Decide(j *task.Job, epoch int64, monotonic clock.Millis) (reason Reason, age clock.Millis) {
 	d.mu.Lock()
 	f, age := d.forecast, monotonic-d.arrived
 	d.mu.Unlock()
 	if f == nil || f.Epoch != epoch || age > maxAge {
-		return Verdict{}, age
+		return Accepted, age
 	}
-	return f.Decide(j, guaranteed), age
+	return f.Decide(j), age
 }
--- a/io/front/front.go
+++ b/io/front/front.go
@@ -54,9 +54,9 @@
 	// OnWrite is called with the revision of each stored write, so that others
 	// learn of it ahead of their watches.
 	OnWrite func(rev int64)
-	// Admit decides whether a job can be served, and returns the age of what it decides
-	// with; nil accepts all jobs.
-	Admit func(j *task.Job) (v admit.Verdict, age clock.Millis)
+	// Admit decides whether any worker can hold a job, and returns the age of what it
+	// decides with; nil accepts all jobs.
+	Admit func(j *task.Job) (reason admit.Reason, age clock.Millis)
 	Clock clock.Clock
 	Log   *slog.Logger
 }
@@ -80,7 +80,7 @@
 	if err := f.awaitStore(ctx, "submit", j.ID); err != nil {
 		return err
 	}
-	if err := f.refuseIfUnservable(ctx, j); err != nil {
+	if err := f.refuseIfInfeasible(ctx, j); err != nil {
 		return err
 	}
 	raw, err := task.Encode(j)
@@ -104,14 +104,14 @@
 	return nil
 }
 
-// refuseIfUnservable refuses a job that can't be served while it is worth anything. A
-// job that an earlier call may have stored is not refused: it may run.
-func (f *Front) refuseIfUnservable(ctx context.Context, j *task.Job) error {
+// refuseIfInfeasible refuses a job that no worker can hold. A job that an earlier call
+// may have stored is not refused: its caller can follow its state.
+func (f *Front) refuseIfInfeasible(ctx context.Context, j *task.Job) error {
 	if f.Admit == nil {
 		return nil
 	}
-	v, age := f.Admit(j)
-	if v.Reason == admit.Accepted {
+	reason, age := f.Admit(j)
+	if reason == admit.Accepted {
 		return nil
 	}
 	ctx, cancel := context.WithTimeout(ctx, readTimeout.Duration())
@@ -119,12 +119,9 @@
 	if _, stored, err := f.Store.Get(ctx, store.JobKey(j.ID)); err != nil || stored {
 		return nil
 	}
-	meter.Count("jobs_refused", 1, string(v.Reason), j.Account)
-	f.Log.Warn("job_refused", "job", j.ID, "queue", j.Queue, "account", j.Account, "reason", v.Reason, "retry_after", v.RetryAfter, "forecast_age", age)
-	if v.Reason == admit.Infeasible {
-		return fault.New(fault.Infeasible, "ask for less per task", "no worker of the service can hold a task of this job").WithOutcome(fault.NotRun)
-	}
-	return fault.New(fault.Busy, "retry after the given time", "the work that goes before this job takes longer than its result is of use").WithOutcome(fault.NotRun).WithRetry(jitter(max(minRetryAfter, v.RetryAfter)))
+	meter.Count("jobs_refused", 1, string(reason), j.Account)
+	f.Log.Warn("job_refused", "job", j.ID, "queue", j.Queue, "account", j.Account, "reason", reason, "forecast_age", age)
+	return fault.New(fault.Infeasible, "ask for less per task", "no worker of the service can hold a task of this job").WithOutcome(fault.NotRun)
 }
 
 // LogRejected logs why a call was not admitted, and under which configuration
