--- a/core/plan/forecast_test.go
+++ b/core/plan/forecast_test.go
@@ -18,7 +18,7 @@
 	paths, err := filepath.Glob("../load/testdata/*.jsonl")
 	qt.Assert(t, err, qt.IsNil)
 	for _, path := range paths {
-		qt.Check(t, replay(t, readLoad(t, path), nil, false).refused, qt.HasLen, 0, qt.Commentf("%s", path))
+		qt.Check(t, replay(t, readLoad(t, path), nil).refused, qt.HasLen, 0, qt.Commentf("%s", path))
 	}
 	f := newFleet(t, 3, 3, workerResources)
 	f.run(11_000)
@@ -31,16 +31,7 @@
 	qt.Check(t, p.Forecast().Decide(fits), qt.Equals, admit.Infeasible)
 }
 
-// only returns the events of a load with no other jobs than the given ones, and
-// without the others with all but these.
-func only(events []load.Event, ids map[string]bool) []load.Event {
-	return filter(events, func(j *task.Job) bool { return ids[j.ID] })
-}
-
-func without(events []load.Event, ids map[string]bool) []load.Event {
-	return filter(events, func(j *task.Job) bool { return !ids[j.ID] })
-}
-
+// filter returns the events of a load with only those jobs that are kept.
 func filter(events []load.Event, keep func(j *task.Job) bool) []load.Event {
 	var out []load.Event
 	for _, e := range events {
--- a/core/plan/replay_test.go
+++ b/core/plan/replay_test.go
@@ -29,7 +29,6 @@
 	slowUntil       map[string]clock.Millis
 	slowFactor      map[string]float64
 	failingUntil    map[string]clock.Millis
-	refuse          bool            // do what the planner's forecast decides about new jobs
 	refused         map[string]bool // jobs that the forecast refuses
 	samples         int
 	idleShare       float64 // share of idle accelerators, summed over samples
@@ -38,7 +37,7 @@
 // replayLoad replays a load until all its jobs have ended, but for at most two
 // minutes after the last event.
 func replayLoad(t *testing.T, events []load.Event, newPlanner func(epoch int64) planner) load.Report {
-	r := replay(t, events, newPlanner, false)
+	r := replay(t, events, newPlanner)
 	report := load.Evaluate(events, r.outcomes)
 	report.LostWork, report.Stranded = r.lostWork/1000, r.idleShare/float64(max(1, r.samples))
 	return report
@@ -46,16 +45,16 @@
 
 // replayOutcomes replays a load under the planner and returns its jobs' outcomes.
 func replayOutcomes(t *testing.T, events []load.Event) map[string]load.Outcome {
-	return replay(t, events, nil, false).outcomes
+	return replay(t, events, nil).outcomes
 }
 
-func replay(t *testing.T, events []load.Event, newPlanner func(epoch int64) planner, refuse bool) *replayed {
+func replay(t *testing.T, events []load.Event, newPlanner func(epoch int64) planner) *replayed {
 	f := newFleet(t, 0, 1, workerResources)
 	if newPlanner != nil {
 		f.newPlanner = newPlanner
 	}
 	r := &replayed{
-		fleet: f, events: events, refuse: refuse, outcomes: map[string]load.Outcome{}, durations: map[string][]clock.Millis{},
+		fleet: f, events: events, outcomes: map[string]load.Outcome{}, durations: map[string][]clock.Millis{},
 		refused: map[string]bool{}, failedRuns: map[string]int{}, plannedFailures: map[string]int{}, slowUntil: map[string]clock.Millis{}, slowFactor: map[string]float64{}, failingUntil: map[string]clock.Millis{},
 	}
 	f.duration = func(j *task.Job, step int, _ *host) clock.Millis { return r.durations[j.ID][step] }
@@ -120,9 +119,6 @@
 		j.Service = "svc"
 		if p, ours := r.planner.(*plan.Planner); ours && p.Forecast().Decide(&j) != admit.Accepted {
 			r.refused[j.ID] = true
-			if r.refuse {
-				return
-			}
 		}
 		r.submit(&j)
 	case load.Cancel:
