--- a/core/fair/ledger.go
+++ b/core/fair/ledger.go
@@ -18,7 +18,7 @@
 	classes map[Class]map[string]float64
 }
 
-// DefaultHalfLife is the time after which use
+// DefaultHalfLife is the time after which past demand counts half.
 const DefaultHalfLife = 5 * clock.Second
 
 // forgotten is the share of a service below which an account's demand is dropped.
--- a/core/plan/place.go
+++ b/core/plan/place.go
@@ -155,8 +155,6 @@
 	}
 }
 
-// choose returns the cheapest placement. One that crosses racks, or is away from
-// the step's data, counts only if mayCrossRacks allows it.
 // choose returns the cheapest placement of a request. A placement across racks or
 // away from the data rack needs the consent of mayCrossRacks.
 func (p *Planner) choose(s *snapshot, r *request) (placement, bool) {
