--- a/core/plan/lease.go
+++ b/core/plan/lease.go
@@ -45,7 +45,7 @@
 		p.emit(Event{Kind: "lease_ran_out", Worker: w.node, Detail: w.incarnation.ID})
 	}
 	w.acceptedEpoch = false
-	p.releaseAll(w)
+	p.releaseAll(w, lostLease)
 }
 
 // applyHandover releases the tasks of a worker that has given no lists to this
@@ -66,7 +66,7 @@
 		p.emit(Event{Kind: "worker_process_gone", Worker: w.node, Detail: fmt.Sprintf("%s over=%d unanswered=%d", w.incarnation.ID, len(over), held)})
 	}
 	w.departed = true
-	p.releaseUnits(over)
+	p.releaseUnits(over, lostLeft)
 }
 
 // applyLeft gives up a worker that has deregistered, once no start may be carried
@@ -77,7 +77,7 @@
 	}
 	w.left, w.capacity = true, task.Resources{}
 	over, _ := p.endedBy(w, *d)
-	p.releaseUnits(over)
+	p.releaseUnits(over, lostLeft)
 	p.settle(w)
 }
 
@@ -90,13 +90,13 @@
 		if next := p.successor(w); next != nil {
 			p.replaceIncarnation(w, next)
 		} else {
-			p.releaseAll(w)
+			p.releaseAll(w, w.replacementLoss())
 		}
 	case w.left && !w.dead:
 		over, _ := p.endedBy(w, lease.Departure{})
-		p.releaseUnits(over)
+		p.releaseUnits(over, lostLeft)
 		if len(w.units) == 0 && len(w.unanswered) == 0 && len(w.tombstones) == 0 {
-			p.markDead(w, "left")
+			p.markDead(w, "left", lostLeft)
 		}
 	}
 }
@@ -133,13 +133,16 @@
 }
 
 // releaseAll treats all runs on a worker as ended without a result.
-func (p *Planner) releaseAll(w *worker) {
-	p.releaseUnits(w.sorted())
+func (p *Planner) releaseAll(w *worker, cause loss) {
+	p.releaseUnits(w.sorted(), cause)
 	clear(w.unaccounted)
 }
 
 // releaseUnits treats runs as ended without a result.
-func (p *Planner) releaseUnits(units []*unit) {
+func (p *Planner) releaseUnits(units []*unit, cause loss) {
+	for _, u := range units {
+		p.logLoss(u, cause)
+	}
 	for _, u := range units {
 		p.release(u)
 	}
--- a/core/plan/lists.go
+++ b/core/plan/lists.go
@@ -26,6 +26,7 @@
 		case u.phase == inDoubt:
 			// An earlier planner recorded the start; the worker does not run it and now
 			// refuses orders from that planner.
+			p.logLoss(u, lostUnlisted)
 			p.release(u)
 			p.stopGangPeers(u)
 		case u.phase == stopping && u.answerSeq > 0 && m.AnsweredOrders >= u.answerSeq:
--- a/core/plan/msg.go
+++ b/core/plan/msg.go
@@ -192,4 +192,5 @@
 	Run    int
 	Wait   clock.Millis // duration, for kinds that have one
 	Detail string
+	Labels []string // kinds that have them are counted by them as well
 }
--- a/core/plan/worker.go
+++ b/core/plan/worker.go
@@ -177,8 +177,13 @@
 // replaceIncarnation replaces an old incarnation by w. Under the same ID, w
 // could carry out a late order to the old one, so each run is stopped on w.
 func (p *Planner) replaceIncarnation(old, w *worker) {
+	cause := old.replacementLoss()
 	if old.incarnation.ID == w.incarnation.ID {
-		for _, u := range old.sorted() {
+		units := old.sorted()
+		for _, u := range units {
+			p.logLoss(u, cause)
+		}
+		for _, u := range units {
 			if u.phase == recording {
 				continue
 			}
@@ -190,17 +195,17 @@
 		}
 		p.inheritTombstones(old, w)
 	}
-	p.markDead(old, "replaced by a newer incarnation")
+	p.markDead(old, "replaced by a newer incarnation", cause)
 }
 
 // markDead gives up an incarnation that has left or was replaced.
-func (p *Planner) markDead(w *worker, reason string) {
+func (p *Planner) markDead(w *worker, reason string, cause loss) {
 	if w.dead {
 		return
 	}
 	p.emit(Event{Kind: "worker_gone", Worker: w.node, Detail: w.incarnation.ID + " " + reason})
 	w.dead = true
-	p.releaseAll(w)
+	p.releaseAll(w, cause)
 	p.changed = true
 	if p.byNode[w.node] == w {
 		delete(p.byNode, w.node)
--- a/io/steer/term.go
+++ b/io/steer/term.go
@@ -309,6 +309,9 @@
 
 func (t *term) logEvent(ev plan.Event) {
 	meter.Count("planner_decisions", 1, ev.Kind)
+	if len(ev.Labels) > 0 {
+		meter.Count(ev.Kind, 1, ev.Labels...)
+	}
 	if ev.Wait > 0 {
 		meter.Observe(ev.Kind, ev.Wait)
 	}
