--- a/core/plan/fleet_test.go
+++ b/core/plan/fleet_test.go
@@ -53,7 +53,12 @@
 	disturbedAt      clock.Millis            // when something was last disturbed
 	standingSince    map[string]clock.Millis // since when a job could start and does not, by job
 	evicted          int
-	lostWork         float64 // core-milliseconds of work that were stopped and not saved
+	deadly           func(name task.Name) bool // whether a task crashes each worker that starts it
+	crashAfter       clock.Millis              // how long after its start
+	crashes          map[string]int            // workers that crashed under a deadly task
+	startsAfter      map[string]int            // its starts after startsAllowedAfter of them
+	lostBeside       map[string]int            // runs that a crash of a deadly task took along, by task
+	lostWork         float64                   // core-milliseconds of work that were stopped and not saved
 }
 
 // planner is the scheduler under test.
@@ -71,7 +76,7 @@
 	f := &fleet{
 		t: t, now: 1_000_000, storeDelay: 8, jobs: map[string]*task.Job{}, cancels: map[string]bool{},
 		records: map[string]*task.Progress{}, revs: map[string]int64{}, completed: map[string]bool{}, acknowledged: map[string]bool{}, finishedAt: map[string]clock.Millis{}, standingSince: map[string]clock.Millis{}, checkpoints: map[string]bool{},
-		closedAt: map[string]clock.Millis{}, events: map[string]int{},
+		crashes: map[string]int{}, startsAfter: map[string]int{}, lostBeside: map[string]int{}, closedAt: map[string]clock.Millis{}, events: map[string]int{},
 	}
 	f.config = (&route.Config{Version: 1, Accounts: map[string]route.Account{}}).Prepare()
 	f.duration = func(j *task.Job, step int, _ *host) clock.Millis { return j.Steps[step].Estimate }
--- a/core/plan/host_test.go
+++ b/core/plan/host_test.go
@@ -93,6 +93,7 @@
 	}
 	h.runs[o.Task] = r
 	h.f.checkStart(h, r)
+	h.f.checkCrashes(r)
 	return plan.Accepted
 }
 
@@ -170,6 +171,10 @@
 			continue
 		}
 		f.progress(h, name, r)
+		if f.deadly != nil && f.deadly(r.name) && f.now-r.placedAt >= f.crashAfter {
+			h.crash(r)
+			return
+		}
 	}
 	if h.mute {
 		h.observe()
