--- a/core/plan/check_test.go
+++ b/core/plan/check_test.go
@@ -28,7 +28,7 @@
 }
 
 // checkStart fails the test if a start violates an invariant: the worker's
-// resources and service, one run of a task at a time, no start after the end,
+// resources (limit) and service, one run of a task at a time, no start after the end,
 // and the order of steps.
 func (f *fleet) checkStart(h *host, r *run) {
 	j := f.jobs[r.name.Job]
@@ -36,7 +36,7 @@
 	for _, o := range h.runs {
 		used = used.Plus(f.jobs[o.name.Job].Steps[o.name.Step].Need)
 	}
-	if !used.Fits(h.resources) {
+	if !used.Fits(h.limit()) {
 		f.t.Fatalf("%d: %s exceeds the capacity of %s: %+v in use", f.now, r.name, h.node, used)
 	}
 	if h.service != j.Service {
--- a/core/plan/fleet_test.go
+++ b/core/plan/fleet_test.go
@@ -96,7 +96,7 @@
 	i := len(f.hosts)
 	f.hosts = append(f.hosts, &host{
 		f: f, node: fmt.Sprintf("side-%02d", i), service: "svc", incarnation: task.Incarnation{ID: fmt.Sprintf("i-%02d", i), StartedAt: 1}, rack: fmt.Sprintf("r%d", i/perRack),
-		resources: resources, runs: map[string]*run{}, lastStopped: map[string]int{}, watch: lease.Watch{Since: f.now - clock.Minute},
+		resources: resources, said: resources, runs: map[string]*run{}, lastStopped: map[string]int{}, watch: lease.Watch{Since: f.now - clock.Minute},
 	})
 }
 
--- a/core/plan/host_test.go
+++ b/core/plan/host_test.go
@@ -19,6 +19,8 @@
 	rack               string
 	centre             string // data centre
 	resources          task.Resources
+	said               task.Resources // its size in its last heartbeat
+	sizes              []size         // earlier sizes that still count
 	fence              int64
 	leaseUntil         clock.Millis
 	runs               map[string]*run
@@ -60,7 +62,7 @@
 )
 
 func (h *host) baseReport() plan.ReportMsg {
-	m := plan.ReportMsg{Node: h.node, Incarnation: h.incarnation, Service: h.service, Rack: h.rack, Capacity: h.resources, DataCentre: h.centre, SpeedPermille: h.speedPermille, SpeedWeight: h.speedWeight}
+	m := plan.ReportMsg{Node: h.node, Incarnation: h.incarnation, Service: h.service, Rack: h.rack, Capacity: h.said, DataCentre: h.centre, SpeedPermille: h.speedPermille, SpeedWeight: h.speedWeight}
 	if h.leavesAt > 0 {
 		m.Draining, m.Remaining = true, max(1, h.leavesAt-h.f.now)
 	}
@@ -332,7 +334,7 @@
 	for _, r := range h.runs {
 		h.f.countLoss(r)
 	}
-	h.incarnation.StartedAt, h.startedPartitioned = h.f.now, h.partitioned
+	h.incarnation.StartedAt, h.startedPartitioned, h.said = h.f.now, h.partitioned, h.resources
 	h.runs, h.lastStopped, h.ends = map[string]*run{}, map[string]int{}, nil
 	h.lastEnd, h.ackedThrough, h.lapsedThrough, h.fence, h.leaseUntil, h.answers = 0, 0, 0, 0, 0, 0
 	h.down, h.mute, h.leaving, h.watch = false, false, false, lease.Watch{Since: h.watch.Since}
