--- a/core/plan/forecast.go
+++ b/core/plan/forecast.go
@@ -12,22 +12,19 @@
 // Forecast returns what the fronts need to know in order to refuse jobs that no worker
 // can hold.
 func (p *Planner) Forecast() *admit.Forecast {
-	largest := make(map[string]task.Resources)
+	sizes := make(map[string]task.Resources)
 	for _, w := range p.workers {
 		if w.service == "" {
 			continue // known from a record only
 		}
-		l := largest[w.service]
-		largest[w.service] = task.Resources{
-			MilliCPU: max(l.MilliCPU, w.capacity.MilliCPU), MemoryMB: max(l.MemoryMB, w.capacity.MemoryMB), Accelerators: max(l.Accelerators, w.capacity.Accelerators),
-		}
+		sizes[w.service] = sizes[w.service].Max(w.largest)
 	}
 	f := &admit.Forecast{Epoch: p.Epoch, At: p.now.Wall}
 	if p.now.Monotonic-p.started < fleetKnownAfter {
 		return f
 	}
-	for _, name := range slices.Sorted(maps.Keys(largest)) {
-		f.Services = append(f.Services, admit.Service{Name: name, Largest: largest[name]})
+	for _, name := range slices.Sorted(maps.Keys(sizes)) {
+		f.Services = append(f.Services, admit.Service{Name: name, Largest: sizes[name]})
 	}
 	return f
 }
--- a/core/plan/host_test.go
+++ b/core/plan/host_test.go
@@ -62,7 +62,7 @@
 )
 
 func (h *host) baseReport() plan.ReportMsg {
-	m := plan.ReportMsg{Node: h.node, Incarnation: h.incarnation, Service: h.service, Rack: h.rack, Capacity: h.said, DataCentre: h.centre, SpeedPermille: h.speedPermille, SpeedWeight: h.speedWeight}
+	m := plan.ReportMsg{Node: h.node, Incarnation: h.incarnation, Service: h.service, Rack: h.rack, Capacity: h.said, Largest: h.largest(), DataCentre: h.centre, SpeedPermille: h.speedPermille, SpeedWeight: h.speedWeight}
 	if h.leavesAt > 0 {
 		m.Draining, m.Remaining = true, max(1, h.leavesAt-h.f.now)
 	}
@@ -335,6 +335,7 @@
 		h.f.countLoss(r)
 	}
 	h.incarnation.StartedAt, h.startedPartitioned, h.said = h.f.now, h.partitioned, h.resources
+	h.sizes = nil
 	h.runs, h.lastStopped, h.ends = map[string]*run{}, map[string]int{}, nil
 	h.lastEnd, h.ackedThrough, h.lapsedThrough, h.fence, h.leaseUntil, h.answers = 0, 0, 0, 0, 0, 0
 	h.down, h.mute, h.leaving, h.watch = false, false, false, lease.Watch{Since: h.watch.Since}
--- a/core/plan/msg.go
+++ b/core/plan/msg.go
@@ -85,6 +85,9 @@
 	// The speed of the worker that an earlier planner has learned, from its Grant.
 	SpeedPermille int `cbor:"16,keyasint,omitempty"`
 	SpeedWeight   int `cbor:"17,keyasint,omitempty"`
+	// Largest is the most of each resource that the worker has had; a worker may be smaller for
+	// a while.
+	Largest task.Resources `cbor:"20,keyasint,omitempty"`
 }
 
 // LinkMsg reports that the connection to a side was made or lost.
@@ -113,6 +116,9 @@
 	Checkpoint  string           `cbor:"6,keyasint,omitempty"`
 	Until       clock.Millis     `cbor:"7,keyasint,omitempty"` // on the worker's clock
 	Epoch       int64            `cbor:"8,keyasint"`
+	// Capacity is the size of the worker for which a start was decided. The side refuses
+	// the start if the worker has become smaller.
+	Capacity task.Resources `cbor:"9,keyasint,omitempty"`
 }
 
 // Outcome is the result of an order.
--- a/core/plan/order.go
+++ b/core/plan/order.go
@@ -17,7 +17,7 @@
 		return
 	}
 	w := u.placedOn
-	if w.dead || w.draining || !w.acceptedEpoch || p.inClosedCentre(w) || u.job.state.Ended() {
+	if w.dead || w.draining || !w.acceptedEpoch || w.overfull() || p.inClosedCentre(w) || u.job.state.Ended() {
 		p.abandonStart(u)
 		return
 	}
@@ -40,7 +40,7 @@
 	p.addUnanswered(w, u.fullName, u.run)
 	p.effects.Orders = append(p.effects.Orders, Order{
 		Kind: OrderStart, Node: w.node, Incarnation: w.incarnation, Task: u.fullName, Run: u.run,
-		Payload: u.job.Payload, Checkpoint: u.checkpoint, Until: p.leaseEnd(w), Epoch: p.Epoch,
+		Payload: u.job.Payload, Checkpoint: u.checkpoint, Until: p.leaseEnd(w), Epoch: p.Epoch, Capacity: w.capacity,
 	})
 }
 
@@ -96,13 +96,13 @@
 }
 
 // resendStart sends a start order again, or stops the run if it was sent
-// maxStarts times or its data centre was closed.
+// maxStarts times, its data centre was closed or its worker has become too small.
 func (p *Planner) resendStart(u *unit) {
 	u.startInDoubt = true
 	if p.startsHeld() {
 		return // resend tries again
 	}
-	if u.startsSent < maxStarts && !p.inClosedCentre(u.placedOn) {
+	if u.startsSent < maxStarts && !p.inClosedCentre(u.placedOn) && !u.placedOn.overfull() {
 		p.sendStart(u)
 		return
 	}
--- a/core/plan/resize_test.go
+++ b/core/plan/resize_test.go
@@ -7,7 +7,9 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"gypsumcrank/core/admit"
 	"gypsumcrank/core/clock"
+	"gypsumcrank/core/plan"
 	"gypsumcrank/core/task"
 )
 
@@ -24,13 +26,21 @@
 	resources task.Resources
 }
 
+// largest returns the most of each resource that the worker has had.
+func (h *host) largest() task.Resources {
+	out := h.said
+	for _, s := range h.sizes {
+		out = out.Max(s.resources)
+	}
+	return out
+}
+
 // limit returns what may be in use on a worker when a task starts there.
 func (h *host) limit() task.Resources {
 	out := h.resources
 	for _, s := range h.sizes {
 		if h.f.now <= s.until {
-			r := s.resources
-			out = task.Resources{MilliCPU: max(out.MilliCPU, r.MilliCPU), MemoryMB: max(out.MemoryMB, r.MemoryMB), Accelerators: max(out.Accelerators, r.Accelerators)}
+			out = out.Max(s.resources)
 		}
 	}
 	return out
@@ -99,3 +109,20 @@
 		})
 	}
 }
+
+// A job that fits a worker only at its full size waits while the worker is smaller; it is
+// not refused, under a new planner either.
+func TestAJobForAWorkerThatHasShrunkIsNotRefused(t *testing.T) {
+	f := newFleet(t, 1, 1, workerResources)
+	f.hosts[0].resize(part(workerResources, 1, 4))
+	f.run(beat + 1)
+	f.takeOver()
+	f.run(11_000)
+	j := jobOf("a", 1, 500, 8)
+	j.Service = "svc"
+	qt.Check(t, f.planner.(*plan.Planner).Forecast().Decide(j), qt.Equals, admit.Accepted)
+	f.submit(j)
+	f.run(5000)
+	f.hosts[0].resize(workerResources)
+	f.finish(5000)
+}
--- a/core/plan/worker.go
+++ b/core/plan/worker.go
@@ -14,8 +14,9 @@
 	service       string
 	kind          string
 	rack          string
-	centre        string // data centre; empty if it is not known
-	capacity      task.Resources
+	centre        string         // data centre; empty if it is not known
+	capacity      task.Resources // as last reported
+	largest       task.Resources // most of each resource that it has had
 	used          task.Resources
 	doubtful      task.Resources // part of used whose runs an earlier planner recorded and no report has confirmed
 	units         map[*unit]bool
@@ -166,6 +167,7 @@
 			p.changed = true
 		}
 	}
+	p.setCapacity(w, m)
 	if w.checkedIncarnations == p.incarnations {
 		return w
 	}
--- a/core/task/task.go
+++ b/core/task/task.go
@@ -36,6 +36,11 @@
 	return Resources{r.MilliCPU - o.MilliCPU, r.MemoryMB - o.MemoryMB, r.Accelerators - o.Accelerators}
 }
 
+// Max returns the larger of r and o for each resource.
+func (r Resources) Max(o Resources) Resources {
+	return Resources{max(r.MilliCPU, o.MilliCPU), max(r.MemoryMB, o.MemoryMB), max(r.Accelerators, o.Accelerators)}
+}
+
 // acceleratorCores is the number of CPU cores that one accelerator counts as.
 const acceleratorCores = 8
 
--- a/io/side/side.go
+++ b/io/side/side.go
@@ -27,9 +27,11 @@
 	Kind        string
 	Rack        string
 	Capacity    task.Resources
-	Draining    bool
-	Remaining   clock.Millis
-	Seq         int64 // grows with each heartbeat of an incarnation
+	// CapacityUnknown is set if the heartbeat does not tell the capacity; it is then as before.
+	CapacityUnknown bool
+	Draining        bool
+	Remaining       clock.Millis
+	Seq             int64 // grows with each heartbeat of an incarnation
 
 	heardAt clock.Millis // monotonic time of the heartbeat
 }
@@ -103,6 +105,7 @@
 
 	mu             sync.Mutex
 	endpoint       *Endpoint
+	largest        task.Resources  // most of each resource that the endpoint's incarnation has said to have
 	startedAt      clock.Millis    // when this process started, on the monotonic clock
 	watch          lease.Watch     // of the endpoint's incarnation
 	handoverAt     clock.Millis    // when a handover was last sent
@@ -163,6 +166,13 @@
 	if s.departed != nil && e.Incarnation.StartedAt <= s.departed.Incarnation.StartedAt {
 		return
 	}
+	if old != nil && old.Incarnation == e.Incarnation && e.CapacityUnknown {
+		e.Capacity = old.Capacity
+	}
+	if old == nil || old.Incarnation != e.Incarnation {
+		s.largest = task.Resources{}
+	}
+	s.largest = s.largest.Max(e.Capacity)
 	e.heardAt = s.Clock.Monotonic()
 	s.endpoint = &e
 	if old == nil || old.Incarnation != e.Incarnation {
@@ -170,8 +180,9 @@
 	}
 	s.watch.Heard(s.Clock.Monotonic(), e.Draining, e.Remaining)
 	s.gone = false
-	if old == nil || old.Incarnation != e.Incarnation || old.Draining != e.Draining {
-		s.Log.Info("endpoint_changed", "endpoint", e.Incarnation.ID, "born", int64(e.Incarnation.StartedAt), "draining", e.Draining, "remaining", e.Remaining, "rack", e.Rack)
+	if old == nil || old.Incarnation != e.Incarnation || old.Draining != e.Draining || old.Capacity != e.Capacity {
+		s.Log.Info("endpoint_changed", "endpoint", e.Incarnation.ID, "born", int64(e.Incarnation.StartedAt), "draining", e.Draining, "remaining", e.Remaining, "rack", e.Rack,
+			"milli_cpu", e.Capacity.MilliCPU, "memory_mb", e.Capacity.MemoryMB, "accelerators", e.Capacity.Accelerators)
 		s.send(link.Frame{Report: s.newReport(e)})
 		s.notifyChanged()
 	}
@@ -197,7 +208,7 @@
 func (s *Side) newReport(e Endpoint) *plan.ReportMsg {
 	r := &plan.ReportMsg{
 		Node: s.Node, Incarnation: e.Incarnation, Service: e.Service, Kind: e.Kind, Rack: e.Rack,
-		Capacity: e.Capacity, Draining: e.Draining, Remaining: e.remainingAt(s.Clock.Monotonic()), DataCentre: s.DataCentre,
+		Capacity: e.Capacity, Largest: s.largest, Draining: e.Draining, Remaining: e.remainingAt(s.Clock.Monotonic()), DataCentre: s.DataCentre,
 	}
 	if s.speed.kind == e.Kind {
 		r.SpeedPermille, r.SpeedWeight = s.speed.permille, s.speed.weight
@@ -292,6 +303,9 @@
 		return
 	}
 	s.mu.Lock()
+	if s.endpoint != nil && s.endpoint.Incarnation == r.Incarnation {
+		r.Capacity, r.Largest = s.endpoint.Capacity, s.largest // it may have changed during the call
+	}
 	if s.epoch == r.Epoch {
 		s.send(link.Frame{Report: r})
 	}
@@ -384,6 +398,8 @@
 		refusal = "the worker's process is gone"
 	case o.Kind == plan.OrderStart && e.Draining:
 		refusal = "the endpoint is draining"
+	case o.Kind == plan.OrderStart && o.Capacity != task.Resources{} && !o.Capacity.Fits(e.Capacity):
+		refusal = "the worker has become smaller"
 	case o.Kind == plan.OrderStart:
 		s.watch.PassOn(o.Until)
 		s.watch.StartSent(sentAt, o.Task, o.Run)
--- a/io/side/side_test.go
+++ b/io/side/side_test.go
@@ -245,3 +245,32 @@
 	cancel()
 	return ctx
 }
+
+// A worker may shrink and grow while it runs. The planner is told at once, also while a
+// call for the lists is under way, and a start that was decided for the larger worker is
+// refused.
+func TestAWorkerThatChangesItsSizeIsReportedAtOnce(t *testing.T) {
+	c, ctx := qt.New(t), context.Background()
+	s, planner, _ := connected(t)
+	large, small := task.Resources{MilliCPU: 128_000, Accelerators: 8}, task.Resources{MilliCPU: 64_000, Accelerators: 4}
+	s.Heartbeat(Endpoint{Incarnation: incarnation(5), Seq: 2, Capacity: large})
+	p, _ := s.nextHold(ctx)
+	s.Heartbeat(Endpoint{Incarnation: incarnation(5), Seq: 3, Capacity: small})
+	s.sendReport(canceled(), p, HoldReply{Clock: 4000})
+	s.Heartbeat(Endpoint{Incarnation: incarnation(5), Seq: 4, CapacityUnknown: true})
+	var sizes []task.Resources
+	for f, err := planner.Receive(100); err == nil; f, err = planner.Receive(100) {
+		if f.Report.Capacity != (task.Resources{}) {
+			sizes = append(sizes, f.Report.Capacity)
+			c.Check(f.Report.Largest, qt.Equals, large)
+		}
+	}
+	c.Check(sizes, qt.DeepEquals, []task.Resources{large, small, small})
+	start := plan.Order{Kind: plan.OrderStart, Incarnation: incarnation(5), Task: "a", Run: 1, Epoch: 3, Until: 9700, Capacity: large}
+	got, why := s.execute(ctx, start)
+	c.Check(got, qt.Equals, plan.Refused)
+	c.Check(why, qt.Contains, "smaller")
+	start.Capacity = small
+	got, _ = s.execute(ctx, start)
+	c.Check(got, qt.Equals, plan.Accepted)
+}
