--- a/cmd/gypsumcrank/platform_test.go
+++ b/cmd/gypsumcrank/platform_test.go
@@ -34,6 +34,8 @@
 		Cmds: map[string]func(ts *testscript.TestScript, neg bool, args []string){
 			"platform": siteCmd((*site).start),
 			"submit":   siteCmd((*site).awaitAccepted),
+			"deadly":   siteCmd((*site).makeDeadly),
+			"reason":   siteCmd((*site).checkReason),
 			"cancel":   siteCmd((*site).awaitCancelled),
 			"shown":    siteCmd((*site).awaitState),
 			"once":     siteCmd((*site).checkRanOnce),
@@ -75,6 +77,8 @@
 	procs     map[string]*daemon
 	fronts    []string
 	executors map[string]*plat.Executor
+	deadly    sync.Map // jobs whose first task crashes each executor that starts it
+	onCrash   func(task string)
 	cleanups  []func()
 	checker   *plat.Checker
 	proxy     bool // each process reaches the store, and each side its executor, through a proxy
@@ -147,6 +151,7 @@
 func (s *site) addSide(i int, runTime time.Duration) error {
 	e := plat.NewExecutor(fmt.Sprintf("i-%d", i), "svc", fmt.Sprintf("r%d", i/2), runTime)
 	e.Checker = s.checker
+	e.CrashTime = s.crashTime
 	srv := httptest.NewServer(e)
 	s.cleanups = append(s.cleanups, srv.CloseClientConnections)
 	name := fmt.Sprintf("side-%d", i)
@@ -315,6 +320,36 @@
 	})
 }
 
+// crashDownTime is how long an executor's process is gone after a crash.
+const crashDownTime = 800 * time.Millisecond
+
+// crashTime returns for how long a task that starts takes its executor down; 0 if it does
+// not.
+func (s *site) crashTime(task string) time.Duration {
+	job, first := strings.CutSuffix(task, ".0.0.0")
+	if _, deadly := s.deadly.Load(job); !first || !deadly {
+		return 0
+	}
+	if s.onCrash != nil {
+		s.onCrash(task)
+	}
+	return crashDownTime
+}
+
+// makeDeadly makes the first task of a job crash each executor that starts it. Argument: ID.
+func (s *site) makeDeadly(args []string) error {
+	s.deadly.Store(args[0], true)
+	return nil
+}
+
+// checkReason checks that the caller of a job is told why it has failed. Arguments: ID TEXT.
+func (s *site) checkReason(args []string) error {
+	if _, respBody := s.call("GET", "/q/"+args[0], ""); !strings.Contains(respBody, args[1]) {
+		return fmt.Errorf("no %q in %s", args[1], respBody)
+	}
+	return nil
+}
+
 // submitOnce submits a job of one task to one front, which has to accept it at the
 // first attempt. Arguments: NAME ID.
 func (s *site) submitOnce(args []string) error {
--- a/cmd/gypsumcrank/soak_crash_test.go
+++ b/cmd/gypsumcrank/soak_crash_test.go
@@ -3,7 +3,6 @@
 import (
 	"fmt"
 	"math/rand/v2"
-	"strings"
 	"sync"
 	"time"
 
@@ -14,7 +13,6 @@
 const (
 	soakCrashLimit = 3 // executors that crashed under a task
 	soakStartLimit = 3 // starts after that
-	soakDownTime   = 1500 * time.Millisecond
 	// soakShrinkDelay is how long after an executor has shrunk its new size counts: contact
 	// and a heartbeat.
 	soakShrinkDelay = 3*time.Second + 300*time.Millisecond
@@ -25,10 +23,8 @@
 type soakCrashes struct {
 	r          *rand.Rand // of its own, so that older seeds repeat
 	mu         sync.Mutex
-	deadly     map[string]bool
 	widths     map[string]int // accelerators of a task in the first step, by job
 	crashes    map[string]int // by task
-	startsPast map[string]int // starts after soakCrashLimit crashes, by task
 	sizes      map[string][]roomFrom
 	violations []string
 }
@@ -40,7 +36,7 @@
 }
 
 func newSoakCrashes(seed uint64) *soakCrashes {
-	return &soakCrashes{r: rand.New(rand.NewPCG(seed, 8)), deadly: map[string]bool{}, widths: map[string]int{}, crashes: map[string]int{}, startsPast: map[string]int{}, sizes: map[string][]roomFrom{}}
+	return &soakCrashes{r: rand.New(rand.NewPCG(seed, 8)), widths: map[string]int{}, crashes: map[string]int{}, sizes: map[string][]roomFrom{}}
 }
 
 func (c *soakCrashes) setWidth(job string, accelerators int) {
@@ -49,14 +45,6 @@
 	c.widths[job] = accelerators
 }
 
-// watchExecutors has all executors report their starts.
-func (s *soak) watchExecutors() {
-	for name, e := range s.executors {
-		e.CrashTime = s.crashes.crashTime
-		e.OnStart = func(running []string) { s.crashes.checkRoom(name, running) }
-	}
-}
-
 // step submits a job whose first task crashes each executor that starts it, or changes
 // the size of an executor, once in a while. The stand-in's gangs don't break, so the
 // job is none.
@@ -64,31 +52,20 @@
 	switch c.r.IntN(16) {
 	case 0:
 		id := fmt.Sprintf("%016x", c.r.Uint64())
-		s.deadly[id] = true
-		c.mu.Lock()
-		c.deadly[id] = true
-		c.mu.Unlock()
+		s.deadly.Store(id, true)
 		s.submit(id, soakStep{1 + c.r.IntN(3), 1 + c.r.IntN(4), false}, s.fronts[c.r.IntN(len(s.fronts))])
 	case 1:
 		s.resize(randomKey(c.r, s.executors), 1+c.r.IntN(soakCapacity))
 	}
 }
 
-// crashTime counts a start of a deadly task and returns for how long its executor is down.
-func (c *soakCrashes) crashTime(name string) time.Duration {
+// count counts a crash under a task, and its starts after soakCrashLimit of them.
+func (c *soakCrashes) count(name string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	job, _, _ := strings.Cut(name, ".")
-	if !c.deadly[job] || name != job+".0.0.0" {
-		return 0
-	}
-	if c.crashes[name] >= soakCrashLimit {
-		if c.startsPast[name]++; c.startsPast[name] == soakStartLimit {
-			c.violations = append(c.violations, fmt.Sprintf("%s was started %d times after %d executors had crashed under it", name, soakStartLimit, soakCrashLimit))
-		}
+	if c.crashes[name]++; c.crashes[name] == soakCrashLimit+soakStartLimit {
+		c.violations = append(c.violations, fmt.Sprintf("%s was started %d times after %d executors had crashed under it", name, soakStartLimit, soakCrashLimit))
 	}
-	c.crashes[name]++
-	return soakDownTime
 }
 
 // resize changes the size of an executor while it runs.
--- a/cmd/gypsumcrank/soak_test.go
+++ b/cmd/gypsumcrank/soak_test.go
@@ -86,7 +86,6 @@
 	configs   []time.Time          // when each version of the configuration was acknowledged
 	closed    bool                 // the data centre dc-0 is closed
 	steps     map[string]soakStep  // first step of each job
-	deadly    map[string]bool      // jobs whose first task crashes each executor that starts it
 	crashes   *soakCrashes
 	standing  map[string]time.Time // since when a job could run and does not
 }
@@ -105,7 +104,7 @@
 	s := &soak{
 		site: &site{dir: t.TempDir(), procs: map[string]*daemon{}, executors: map[string]*plat.Executor{}, checker: checker, proxy: true, proxies: map[string]*plat.Proxy{}},
 		t:    t, r: rand.New(rand.NewPCG(seed, 7)), accepted: map[string]bool{}, inDoubt: map[string]bool{}, cancelled: map[string]bool{},
-		refused: map[string]bool{}, faultEnds: map[string]time.Time{}, faultAt: map[string]time.Time{}, deadly: map[string]bool{}, crashes: newSoakCrashes(seed), steps: map[string]soakStep{}, standing: map[string]time.Time{},
+		refused: map[string]bool{}, faultEnds: map[string]time.Time{}, faultAt: map[string]time.Time{}, crashes: newSoakCrashes(seed), steps: map[string]soakStep{}, standing: map[string]time.Time{},
 	}
 	defer s.close()
 	size := os.Getenv(soakSizeVar)
@@ -113,10 +112,13 @@
 		size = soakSize
 	}
 	fronts, sides, _ := strings.Cut(size, ",")
+	s.onCrash = s.crashes.count
 	if err := s.start([]string{fronts, sides, strconv.Itoa(200 + s.r.IntN(1200))}); err != nil {
 		t.Fatal(err)
 	}
-	s.watchExecutors()
+	for name, e := range s.executors {
+		e.SetOnStart(func(running []string) { s.crashes.checkRoom(name, running) })
+	}
 	for end := time.Now().Add(soakDuration); time.Now().Before(end); {
 		for range 1 + len(s.procs)/processesPerStep {
 			s.step()
@@ -376,7 +378,7 @@
 			st := s.steps[id]
 			first := done[fmt.Sprint(id, 0)]
 			firstDone := first >= st.count || st.gang && first > 0
-			if s.cancelled[id] || s.deadly[id] || firstDone && done[fmt.Sprint(id, 1)] >= soakSecondStep {
+			if _, deadly := s.deadly.Load(id); deadly || s.cancelled[id] || firstDone && done[fmt.Sprint(id, 1)] >= soakSecondStep {
 				continue
 			}
 			waiting = true
@@ -420,7 +422,7 @@
 		if s.cancelled[id] {
 			continue
 		}
-		if s.deadly[id] {
+		if _, deadly := s.deadly.Load(id); deadly {
 			if err := s.awaitState([]string{id, "failed", fmt.Sprint(soakEndTimeout)}); err != nil {
 				s.t.Errorf("a job that crashes its executors was not given up: %v", err)
 			}
--- a/internal/standin/plat/executor.go
+++ b/internal/standin/plat/executor.go
@@ -42,9 +42,6 @@
 	// CrashTime, if set, returns for how long the executor's process is gone because it
 	// starts a task; 0 if the task does not crash it.
 	CrashTime func(task string) time.Duration
-	// OnStart, if set, is called with the names of all running tasks when one starts. It
-	// must not call the executor.
-	OnStart func(running []string)
 	// Checker, if set, records the starts and ends of runs.
 	Checker *Checker
 
@@ -59,6 +56,7 @@
 	lastEnd    int64          // number of the latest end
 	starts     map[string]int
 	lastStart  time.Time
+	onStart    func(running []string)
 	done       map[string]int
 	changed    chan struct{}
 }
@@ -112,6 +110,14 @@
 	return e.lastStart
 }
 
+// SetOnStart sets a function that is called with the names of all running tasks when
+// one starts. It must not call the executor.
+func (e *Executor) SetOnStart(f func(running []string)) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.onStart = f
+}
+
 // Running returns the names of the running tasks.
 func (e *Executor) Running() []string {
 	e.mu.Lock()
@@ -265,8 +271,8 @@
 	}
 	r.timer = time.AfterFunc(runTime-time.Since(r.began), func() { e.finish(o.Task, r) })
 	e.runs[o.Task] = r
-	if e.OnStart != nil {
-		e.OnStart(slices.Collect(maps.Keys(e.runs)))
+	if e.onStart != nil {
+		e.onStart(slices.Collect(maps.Keys(e.runs)))
 	}
 	if e.CrashTime != nil {
 		if d := e.CrashTime(o.Task); d > 0 {
--- a/io/front/front.go
+++ b/io/front/front.go
@@ -215,6 +215,9 @@
 // CachedState returns a job's state from the index, without a call to the store.
 func (f *Front) CachedState(id string) (s task.State, ok bool) { return f.Index.find(id) }
 
+// Failure returns why a job has failed, or "" if it has not or that is not known here.
+func (f *Front) Failure(id string) string { return f.Index.failure(id) }
+
 // State returns the state of a job. An unknown job is a not_found error.
 func (f *Front) State(ctx context.Context, id string) (task.State, error) {
 	if s, ok := f.Index.find(id); ok {
--- a/io/front/index.go
+++ b/io/front/index.go
@@ -199,6 +199,17 @@
 	return e.state(), true
 }
 
+// failure returns why a job has failed, or "" if it has not.
+func (x *Index) failure(id string) string {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	e := x.jobs[id]
+	if e == nil || e.state() != task.Failed {
+		return ""
+	}
+	return e.progress.Reason
+}
+
 // pending counts the jobs of a queue that have neither started nor ended and are
 // not cancelled.
 func (x *Index) pending(queue string) int {
