--- a/core/gang/gang.go
+++ b/core/gang/gang.go
@@ -32,6 +32,9 @@
 	// maxFailures is the number of failures after which the job itself, not a
 	// worker, is taken to be at fault.
 	maxFailures = 3
+	// maxLosses is the number of times that a job may be lost with a worker that restarts.
+	// A worker may restart by itself, or because of a job beside it, so it is larger.
+	maxLosses = 5
 )
 
 // Action is what the planner has to do about a placed job.
@@ -52,6 +55,8 @@
 	Reason string
 	// Failed has the names of the agents on whose workers a task failed.
 	Failed []string
+	// Lost is set if a task was lost as its worker restarted.
+	Lost bool
 	// Members are the current members, for Adopt.
 	Members []spec.Member
 }
@@ -67,7 +72,7 @@
 		s := statusOf(now, rec, m, f)
 		switch {
 		case s.lostReason != "":
-			return Verdict{Action: Halt, Reason: fmt.Sprintf("task %d on %s: %s", m.Rank, m.Agent, s.lostReason), Failed: s.failed}
+			return Verdict{Action: Halt, Reason: fmt.Sprintf("task %d on %s: %s", m.Rank, m.Agent, s.lostReason), Failed: s.failed, Lost: s.lost}
 		case s.done:
 			done++
 		}
@@ -94,6 +99,7 @@
 	done       bool
 	lostReason string
 	failed     []string
+	lost       bool // with its worker
 }
 
 func statusOf(now clock.Millis, rec spec.JobRecord, m spec.Member, f *fleet.Fleet) memberStatus {
@@ -112,7 +118,7 @@
 	t, reported := findTask(a.Report(), rec, m.Rank)
 	if !reported {
 		if a.LastContact() > rec.StartedAt+reportLag {
-			s.lostReason = "its worker no longer knows the task"
+			s.lostReason, s.lost = "its worker no longer knows the task", true
 		}
 		return s
 	}
@@ -123,7 +129,7 @@
 	case proto.TaskFailed:
 		s.lostReason, s.failed = "failed: "+t.Detail, []string{m.Agent}
 	case proto.TaskLost, proto.TaskStopped:
-		s.lostReason = "ended early: " + t.Detail
+		s.lostReason, s.lost = "ended early: "+t.Detail, t.State == proto.TaskLost
 	}
 	return s
 }
@@ -234,7 +240,7 @@
 	switch {
 	case rec.CancelRequested:
 		return life.Cancel
-	case rec.Failures >= maxFailures:
+	case rec.Failures >= maxFailures, rec.Losses >= maxLosses:
 		return life.Fail
 	case started == 0, rec.Spec.Idempotent:
 		return life.Requeue
--- a/core/gang/gang_test.go
+++ b/core/gang/gang_test.go
@@ -92,3 +92,17 @@
 	f.Report(now, proto.ReportMsg{Agent: "a", Incarnation: "l3", Seq: 1}, "e")
 	c.Assert(gang.Assess(now, rec, f).Action, qt.Equals, gang.Halt)
 }
+
+// Guards against a job that makes worker after worker restart: a job that may run again was
+// put back into the queue without a limit.
+func TestAJobThatIsLostWithItsWorkersAgainAndAgainFails(t *testing.T) {
+	rec, trigger, runs := record(spec.Job{Idempotent: true, Tasks: 2}), life.Requeue, 0
+	for ; trigger == life.Requeue && runs < 20; runs++ {
+		v := gang.Assess(0, rec, view(0, proto.TaskLost, proto.TaskRunning))
+		qt.Assert(t, v.Lost, qt.IsTrue)
+		rec.Losses++
+		_, trigger = gang.Next(0, rec, []gang.StoppedMember{{Rank: 0, Started: true, State: proto.TaskLost}, {Rank: 1, Started: true}})
+	}
+	qt.Check(t, trigger, qt.Equals, life.Fail)
+	qt.Check(t, runs, qt.Equals, 5)
+}
--- a/core/spec/spec.go
+++ b/core/spec/spec.go
@@ -181,6 +181,7 @@
 	Remedy          string       `json:"remedy,omitempty"`
 	Evictions       int          `json:"evictions,omitempty"`
 	Failures        int          `json:"failures,omitempty"`
+	Losses          int          `json:"losses,omitempty"` // times that it was lost with a worker that restarted
 	CancelRequested bool         `json:"cancel_asked,omitempty"`
 	Checkpoints     []string     `json:"checkpoints,omitempty"`
 }
--- a/io/entry/commit.go
+++ b/io/entry/commit.go
@@ -153,7 +153,7 @@
 	for i, err := range errs {
 		if err != nil {
 			p.avoidAgent(rec.Members[i].Agent)
-			p.halt(ctx, epoch, rev, rec, "task on "+rec.Members[i].Agent+" did not start: "+fault.Of(err).Detail, nil)
+			p.halt(ctx, epoch, rev, rec, gang.Verdict{Reason: "task on " + rec.Members[i].Agent + " did not start: " + fault.Of(err).Detail})
 			return
 		}
 	}
@@ -189,18 +189,21 @@
 }
 
 // halt records that the gang has to end, and then ends it.
-func (p *planner) halt(ctx context.Context, epoch, rev int64, rec spec.JobRecord, reason string, failed []string) {
+func (p *planner) halt(ctx context.Context, epoch, rev int64, rec spec.JobRecord, v gang.Verdict) {
 	next := rec
 	state, err := life.Jobs.Next(rec.State, life.Halt)
 	if err != nil {
 		return
 	}
 	next.State = state
-	next.Reason = reason
+	next.Reason = v.Reason
 	next.Epoch = epoch
-	if len(failed) > 0 {
+	if v.Lost {
+		next.Losses++
+	}
+	if len(v.Failed) > 0 {
 		next.Failures++
-		p.recordFailedAgents(rec.ID, failed)
+		p.recordFailedAgents(rec.ID, v.Failed)
 	}
 	if !p.putTransition(ctx, rev, next, "job_stopping") {
 		return
@@ -304,7 +307,7 @@
 	})
 	for _, err := range errs {
 		if fault.Is(err, fault.TooLarge) {
-			p.halt(ctx, epoch, rev, rec, fault.Of(err).Detail, nil)
+			p.halt(ctx, epoch, rev, rec, gang.Verdict{Reason: fault.Of(err).Detail})
 			return
 		}
 		if err != nil {
--- a/io/entry/round.go
+++ b/io/entry/round.go
@@ -147,7 +147,7 @@
 	case gang.Collect:
 		return func(ctx context.Context) { p.collectResponses(ctx, epoch, rev, rec) }
 	case gang.Halt:
-		return func(ctx context.Context) { p.halt(ctx, epoch, rev, rec, v.Reason, v.Failed) }
+		return func(ctx context.Context) { p.halt(ctx, epoch, rev, rec, v) }
 	default:
 		return nil
 	}
@@ -274,7 +274,7 @@
 		p.mu.Unlock()
 		for id, victim := range victims {
 			reason := "evicted to free cells for the guarantee of account " + v.rec.Account
-			steps[id] = func(ctx context.Context) { p.halt(ctx, epoch, victim.rev, victim.rec, reason, nil) }
+			steps[id] = func(ctx context.Context) { p.halt(ctx, epoch, victim.rev, victim.rec, gang.Verdict{Reason: reason}) }
 		}
 		p.entry.events.Add(event.Event{Kind: "job_reclaims", Account: v.rec.Account, Job: pl.ID, Epoch: epoch, Detail: pl.Reason})
 		return
