--- a/core/plan/export_test.go
+++ b/core/plan/export_test.go
@@ -6,3 +6,12 @@
 func (p *Planner) ExpectedDuration(queue string, estimate clock.Millis) clock.Millis {
 	return p.durations[queue].predict(estimate)
 }
+
+// Health is the health of a worker.
+type Health = health
+
+// Failed and Quarantined are the methods of the same names.
+func (h *health) Failed(now clock.Millis, job string, startedAt clock.Millis) {
+	h.recordFailure(now, job, startedAt)
+}
+func (h *health) Quarantined(now clock.Millis) bool { return h.quarantined(now) }
--- a/core/plan/headroom.go
+++ b/core/plan/headroom.go
@@ -41,6 +41,9 @@
 		return s.free[emptiest[i]].Accelerators > s.free[emptiest[j]].Accelerators
 	})
 	for _, w := range emptiest {
+		if w.paroled {
+			continue
+		}
 		if want <= 0 || s.free[w].Accelerators <= 0 {
 			break
 		}
--- a/core/plan/health.go
+++ b/core/plan/health.go
@@ -1,6 +1,10 @@
 package plan
 
-import "gypsumcrank/core/clock"
+import (
+	"fmt"
+
+	"gypsumcrank/core/clock"
+)
 
 // Bounds of the quarantine.
 const (
@@ -12,10 +16,12 @@
 
 // health counts consecutive failures of different jobs on one worker. Repeated
 // failures of one job count once, so that a job that fails everywhere does not
-// quarantine its workers.
+// quarantine its workers. A quarantine is lengthened only by a run that started after it
+// had begun: those that were under way fail for the same reason.
 type health struct {
 	lastJob          string
 	streak           int
+	quarantinedAt    clock.Millis // when the last quarantine began
 	quarantinedUntil clock.Millis
 	quarantine       clock.Millis
 }
@@ -23,23 +29,78 @@
 // recordSuccess clears the history: a run ended well.
 func (h *health) recordSuccess() { *h = health{} }
 
-// recordFailure counts a failed run of a job and quarantines the worker after
-// quarantineAfter of them.
-func (h *health) recordFailure(now clock.Millis, job string) {
+// recordFailure counts a failed run of a job that started at a time, and quarantines the
+// worker after quarantineAfter of them. It reports whether a quarantine has begun.
+func (h *health) recordFailure(now clock.Millis, job string, startedAt clock.Millis) bool {
+	if h.quarantine > 0 && startedAt <= h.quarantinedAt {
+		return false
+	}
 	if job != h.lastJob {
 		h.streak++
 		h.lastJob = job
 	}
 	if h.streak < quarantineAfter {
-		return
+		return false
 	}
 	h.quarantine = min(max(minQuarantine, h.quarantine*quarantineGrowth), maxQuarantine)
-	h.quarantinedUntil = now + h.quarantine
+	h.quarantinedAt, h.quarantinedUntil = now, now+h.quarantine
+	return true
 }
 
 // quarantined reports whether the worker is given no work at all.
 func (h *health) quarantined(now clock.Millis) bool { return now < h.quarantinedUntil }
 
+// onParole reports whether the worker is quarantined, but its failures are old enough
+// for it to be better than no worker.
+func (h *health) onParole(now clock.Millis) bool {
+	return h.quarantined(now) && now >= h.quarantinedAt+minQuarantine
+}
+
+// paroleWait is how long a request waits before it is tried on a worker on parole, and
+// lastAttemptWait the same for the last attempt of its job.
+const (
+	paroleWait      = clock.Second
+	lastAttemptWait = 2500 * clock.Millisecond
+)
+
+// triesParole reports whether a task may be tried on a worker on parole.
+func (p *Planner) triesParole(u *unit) bool {
+	wait := paroleWait
+	if u.lastAttempt() {
+		wait = lastAttemptWait
+	}
+	return u.phase == idle && p.now.Monotonic-u.readyAt >= wait
+}
+
+// lastAttempt reports whether the job ends if the next run of the task fails.
+func (u *unit) lastAttempt() bool {
+	return u.job.Attempts > 0 && u.failures+1 >= u.job.Attempts && u.failures > 0
+}
+
+// savesLastAttempt reports whether a task waits for a worker whose last run did not fail,
+// because it has one attempt left.
+func (p *Planner) savesLastAttempt(w *worker, u *unit) bool {
+	return w.health.suspect() && u.lastAttempt() && p.now.Monotonic-u.readyAt < lastAttemptWait
+}
+
+// recordFailure counts a failed run against the worker.
+func (p *Planner) recordFailure(w *worker, u *unit) {
+	if w.health.recordFailure(p.now.Monotonic, u.job.ID, u.confirmedAt) {
+		p.emit(Event{Kind: "worker_quarantined", Job: u.job.ID, Worker: w.node, Wait: w.health.quarantine, Detail: fmt.Sprintf("streak=%d", w.health.streak)})
+	}
+}
+
+// Quarantined returns the number of workers that are quarantined.
+func (p *Planner) Quarantined() int {
+	n := 0
+	for _, w := range p.workers {
+		if !w.dead && w.health.quarantined(p.now.Monotonic) {
+			n++
+		}
+	}
+	return n
+}
+
 // suspect reports whether the worker's last run failed.
 func (h *health) suspect() bool { return h.streak > 0 }
 
--- a/core/plan/lists.go
+++ b/core/plan/lists.go
@@ -106,7 +106,7 @@
 		w.health.recordSuccess()
 		p.finish(u)
 	case EndFailed:
-		w.health.recordFailure(p.now.Monotonic, j.ID)
+		p.recordFailure(w, u)
 		u.avoidWorker(w)
 		p.setCrashes(u, u.crashes.Prove())
 		p.countFailure(u)
--- a/core/plan/place.go
+++ b/core/plan/place.go
@@ -37,6 +37,7 @@
 		w.stalled = p.isStalled(w)
 		w.credible = p.credibleFactor(w)
 		p.updateTrials(w)
+		w.paroled = w.health.onParole(p.now.Monotonic)
 		s.free[w] = w.free()
 		s.freeSoon[w] = s.free[w]
 		for u := range w.pendingOrders {
@@ -64,7 +65,7 @@
 
 // usable reports whether a worker may be given new tasks.
 func (p *Planner) usable(w *worker) bool {
-	if w.dead || w.draining || p.inClosedCentre(w) || !w.acceptedEpoch || !w.linked || !w.tombstonesAcknowledged() || p.now.Monotonic < w.backoffUntil || w.health.quarantined(p.now.Monotonic) {
+	if w.dead || w.draining || p.inClosedCentre(w) || !w.acceptedEpoch || !w.linked || !w.tombstonesAcknowledged() || p.now.Monotonic < w.backoffUntil || w.health.quarantined(p.now.Monotonic) && !w.health.onParole(p.now.Monotonic) {
 		return false
 	}
 	// A worker without a recent report would start tasks on a short lease.
@@ -75,10 +76,14 @@
 const avoidFor = 4 * clock.Second
 
 // allowed reports whether a task may run on a worker: the service and the label
-// match, no suspect keeps it away, and the task does not avoid the worker. A task avoids a worker only for
+// match, no suspect keeps it away, the worker is sound or has to do, and the task does
+// not avoid it. A task avoids a worker only for
 // avoidFor, and only while another worker could run it.
 func (p *Planner) allowed(w *worker, u *unit) bool {
 	avoided := u.avoid[w.incarnation] && p.now.Monotonic-u.readyAt < avoidFor && p.hasAlternative(u)
+	if w.paroled && !p.triesParole(u) || p.savesLastAttempt(w, u) {
+		return false
+	}
 	return matches(w, u) && !avoided && !p.keptApart(w, u)
 }
 
@@ -254,6 +259,8 @@
 const (
 	crossRackCost = 10000
 	suspectCost   = 200 // on a suspect or stalled worker
+	// quarantineCost makes quarantined workers on parole the last choice.
+	quarantineCost = 2000
 )
 
 // fit assigns the tasks one by one, each to the worker with the lowest
@@ -331,6 +338,9 @@
 	if w.health.suspect() || w.stalled {
 		cost += suspectCost
 	}
+	if w.paroled {
+		cost += quarantineCost
+	}
 	return cost
 }
 
--- a/core/plan/reserve.go
+++ b/core/plan/reserve.go
@@ -303,6 +303,9 @@
 	fits := false
 	s.with(s.kept, func() { _, fits = p.choose(s, r) })
 	if !fits {
+		if n := p.Quarantined(); n > 0 {
+			return fmt.Sprintf("no worker has the resources; %d are quarantined", n)
+		}
 		return "no worker has the resources"
 	}
 	var owners []string
--- a/core/plan/worker.go
+++ b/core/plan/worker.go
@@ -54,6 +54,7 @@
 
 	backoffUntil clock.Millis // it refused a start and gets no other before this time
 	health       health
+	paroled      bool         // it was on parole when the last scheduling round began
 	stalled      bool         // no task on it made progress when the last scheduling round began
 	slowUntil    clock.Millis // all its tasks are slow for now, slowBy times as slow as before
 	slowBy       float64
