--- a/core/crash/crash.go
+++ b/core/crash/crash.go
@@ -113,8 +113,9 @@
 	return out
 }
 
-// History is what the crashes under a task say about it. It is stored with the task's
-// progress. The zero value is that of a task under which no worker has crashed.
+// History is what the crashes under a task say about it: at first nothing; then it may be a
+// suspect, until a run of it has lasted (Proved) or it is given up (Deadly, Exhausted). It is
+// stored with the task's progress. The zero value is that of a task under which no worker has crashed.
 type History struct {
 	Crashes     int          `json:"crashes,omitempty"`
 	Candidacies int          `json:"candidate,omitempty"`  // crashes in which it was no bystander
@@ -190,6 +191,12 @@
 	return h
 }
 
+// NotStarted returns the history of a task whose last start was not carried out.
+func (h History) NotStarted() History {
+	h.Starts = max(0, h.Starts-1)
+	return h
+}
+
 // Exhausted reports whether the task must not be started again: it may still be innocent,
 // but neither crashes nor runs have shown it in time.
 func (h History) Exhausted() bool {
--- a/core/plan/order.go
+++ b/core/plan/order.go
@@ -50,6 +50,7 @@
 func (p *Planner) stop(u *unit) {
 	switch u.phase {
 	case recording:
+		p.setCrashes(u, u.crashes.NotStarted())
 		p.release(u)
 	case starting, running:
 		u.setPhase(stopping)
@@ -162,6 +163,7 @@
 		p.stopGangPeers(u)
 	default:
 		p.emit(Event{Kind: "start_refused", Job: u.job.ID, Task: u.fullName, Worker: u.placedOn.node, Run: u.run, Detail: m.Reason})
+		p.setCrashes(u, u.crashes.NotStarted())
 		u.placedOn.backoffUntil = p.now.Monotonic + refusalBackoff
 		p.release(u)
 		p.stopGangPeers(u)
--- a/core/plan/unit.go
+++ b/core/plan/unit.go
@@ -151,6 +151,7 @@
 
 // abandonStart drops a start for which no order was sent.
 func (p *Planner) abandonStart(u *unit) {
+	p.setCrashes(u, u.crashes.NotStarted())
 	p.release(u)
 	p.stopGangPeers(u)
 }
