--- a/core/plan/reserve.go
+++ b/core/plan/reserve.go
@@ -6,6 +6,7 @@
 	"strings"
 
 	"gypsumcrank/core/clock"
+	"gypsumcrank/core/fair"
 	"gypsumcrank/core/task"
 	"gypsumcrank/core/wide"
 )
@@ -78,7 +79,9 @@
 func (p *Planner) reserve(s *snapshot, r *request) {
 	u := r.first()
 	least := starvationWait
-	if r.priority() == 0 && !r.expired {
+	if r.rank == fair.OverShare {
+		least = longStarvationWait
+	} else if r.priority() == 0 && !r.expired {
 		least = 0 // as nothing more may be evicted for it
 	} else if r.expired || p.isNarrow(s, r) {
 		least = longStarvationWait
