--- a/core/lease/lease.go
+++ b/core/lease/lease.go
@@ -44,6 +44,9 @@
 	// LostFor is how long ago the first call failed since the worker last answered; 0 if the
 	// side does not say. It proves nothing, but dates a crash.
 	LostFor clock.Millis `cbor:"5,keyasint,omitempty"`
+	// Refused is set if the worker's port refused the last connection: its process has likely
+	// crashed, which proves nothing about its leases.
+	Refused bool `cbor:"6,keyasint,omitempty"`
 }
 
 // Ended reports whether no lease was left on the worker when the handover was
--- a/core/lease/watch.go
+++ b/core/lease/watch.go
@@ -22,6 +22,7 @@
 	until        clock.Millis // latest lease end passed on, on the worker's clock
 	clock        clock.Millis // the worker's clock when it last answered
 	answeredAt   clock.Millis
+	refused      bool         // the last call was refused
 	lostAt       clock.Millis // when the first call failed since it last answered, 0 if none did
 	announced    bool         // the endpoint has announced its end
 	earliestEnd  clock.Millis // earliest end of the process that it has announced
@@ -57,7 +58,7 @@
 // Answered records an answer of the worker that shows its clock.
 func (w *Watch) Answered(now, workerClock clock.Millis) {
 	w.clock, w.answeredAt, w.lostAt = workerClock, now, 0
-	w.refusals = 0
+	w.refusals, w.refused = 0, false
 }
 
 // Lost records that a call failed in any way, for LostFor.
@@ -69,11 +70,12 @@
 
 // Failed records a call that failed in any way but a refused connection: the
 // process may be alive.
-func (w *Watch) Failed() { w.refusals = 0 }
+func (w *Watch) Failed() { w.refusals, w.refused = 0, false }
 
 // Refused records that the worker's port refused a connection: no process
 // listens there. Before the announced end it proves nothing.
 func (w *Watch) Refused(now clock.Millis) {
+	w.refused = true
 	if !w.announced || now < w.earliestEnd {
 		return
 	}
@@ -87,7 +89,7 @@
 // at least if it drains.
 func (w *Watch) Heard(now clock.Millis, draining bool, remaining clock.Millis) {
 	w.announced, w.earliestEnd = draining, now+remaining
-	w.refusals = 0
+	w.refusals, w.refused = 0, false
 }
 
 // StartSent records a start order that is about to be passed on.
@@ -113,7 +115,7 @@
 
 // Handover returns what the side knows of the worker's leases.
 func (w *Watch) Handover(now clock.Millis) *Handover {
-	h := &Handover{Until: w.until, Clock: w.clock, Uptime: now - w.Since}
+	h := &Handover{Until: w.until, Clock: w.clock, Uptime: now - w.Since, Refused: w.refused}
 	if w.clock > 0 {
 		h.Age = now - w.answeredAt
 	}
--- a/core/plan/crash_test.go
+++ b/core/plan/crash_test.go
@@ -13,8 +13,8 @@
 )
 
 const (
-	// downFor is how long a worker is down after a crash.
-	downFor = 3300 * clock.Millisecond
+	// usualDownTime is how long a worker is down after a crash.
+	usualDownTime = 3300 * clock.Millisecond
 	// crashLimit and startLimit are the users' bound: a task is not started startLimit
 	// times after crashLimit workers have crashed under it.
 	crashLimit = 3
@@ -36,7 +36,7 @@
 	h.watch.Lost(f.now)
 	h.nextReportAt = f.now
 	crashed := h.incarnation
-	f.schedule(downFor, func() {
+	f.schedule(f.downFor, func() {
 		if h.incarnation == crashed {
 			h.restartAs(fmt.Sprintf("%s-%d", h.node, f.now))
 		}
@@ -56,7 +56,7 @@
 
 // deadlyJobs makes the first task of each of these jobs deadly.
 func (f *fleet) deadlyJobs(ids ...string) {
-	f.crashAfter = 10
+	f.crashAfter, f.downFor = 10, usualDownTime
 	f.deadly = func(n task.Name) bool {
 		for _, id := range ids {
 			if n.Job == id && n.Index == 0 {
@@ -114,7 +114,7 @@
 		f.run(100)
 		if n := f.crashes["deadly.0.0.0"]; n > crashes {
 			crashes = n
-			f.run(downFor + 500)
+			f.run(f.downFor + 500)
 			f.takeOver()
 		}
 	}
@@ -124,16 +124,18 @@
 
 // A task may crash its worker at any time of its run.
 func TestATaskThatCrashesItsWorkersLateIsGivenUp(t *testing.T) {
-	for _, after := range []clock.Millis{300, 1200, 2500, 5000} {
-		t.Run(after.String(), func(t *testing.T) {
-			f := newFleet(t, 6, 3, workerResources)
-			f.deadlyJobs("deadly")
-			f.crashAfter = after
-			f.submitInnocent(8)
-			f.submit(jobOf("deadly", 1, 8000, 1))
-			f.finish(90_000)
-			f.checkStates("deadly")
-		})
+	for _, after := range []clock.Millis{10, 300, 1200, 2500, 5000} {
+		for _, down := range []clock.Millis{usualDownTime, 8000, 20_000} { // the longer ones exceed the leases
+			t.Run(fmt.Sprint(after, " down for ", down), func(t *testing.T) {
+				f := newFleet(t, 9, 3, workerResources)
+				f.deadlyJobs("deadly")
+				f.crashAfter, f.downFor = after, down
+				f.submitInnocent(8)
+				f.submit(jobOf("deadly", 1, 8000, 1))
+				f.finish(200_000)
+				f.checkStates("deadly")
+			})
+		}
 	}
 }
 
--- a/core/plan/fleet_test.go
+++ b/core/plan/fleet_test.go
@@ -55,6 +55,7 @@
 	evicted          int
 	deadly           func(name task.Name) bool // whether a task crashes each worker that starts it
 	crashAfter       clock.Millis              // how long after its start
+	downFor          clock.Millis              // how long the worker is down then
 	crashes          map[string]int            // workers that crashed under a deadly task
 	startsAfter      map[string]int            // its starts after startsAllowedAfter of them
 	lostBeside       map[string]int            // runs that a crash of a deadly task took along, by task
--- a/core/plan/lease.go
+++ b/core/plan/lease.go
@@ -45,14 +45,22 @@
 		p.emit(Event{Kind: "lease_ran_out", Worker: w.node, Detail: w.incarnation.ID})
 	}
 	w.acceptedEpoch = false
-	w.lapsed = append(w.lapsed, w.endedRuns()...)
-	p.releaseAll(w, lostLease)
+	if !w.refused || w.replacementLoss() != lostCrash {
+		w.lapsed = append(w.lapsed, w.endedRuns()...)
+		p.releaseAll(w, lostLease)
+		return
+	}
+	// No process listens there: its next incarnation may take longer than the task is worth.
+	deadly := p.judgeCrash(w)
+	p.releaseAll(w, lostCrash)
+	p.giveUp(deadly)
 }
 
 // applyHandover releases the tasks of a worker that has given no lists to this
 // planner once its side shows that no lease is left. A planner that has lists
 // relies on its own grants instead: one may be on its way to the side.
 func (p *Planner) applyHandover(w *worker, h lease.Handover) {
+	w.refused = h.Refused
 	if h.LostFor > 0 {
 		w.lostAt = p.now.Monotonic - h.LostFor
 	}
--- a/core/plan/lists.go
+++ b/core/plan/lists.go
@@ -13,7 +13,7 @@
 		p.emit(Event{Kind: "worker_not_gone", Worker: w.node, Detail: w.incarnation.ID})
 	}
 	first := !w.acceptedEpoch
-	w.acceptedEpoch, w.lapsed, w.lostAt = true, nil, 0
+	w.acceptedEpoch, w.lapsed, w.lostAt, w.refused = true, nil, 0, false
 	w.clock, w.lastReportAt = m.Clock, p.now.Monotonic
 	if first {
 		p.changed = true
--- a/core/plan/worker.go
+++ b/core/plan/worker.go
@@ -25,9 +25,10 @@
 	reports       int                       // reports with lists received so far
 	unaccounted   map[string]task.Resources // resources of listed runs that no order accounts for, by task
 
-	lostAt clock.Millis // when its side first failed to reach it, on our monotonic clock; 0 if it reaches it or has not said
-	lapsed []endedRun   // runs that ended with its leases, until it is known whether it had crashed
-	trials trials       // as of this scheduling round
+	lostAt  clock.Millis // when its side first failed to reach it, on our monotonic clock; 0 if it reaches it or has not said
+	refused bool         // its side last found that no process listens
+	lapsed  []endedRun   // runs that ended with its leases, until it is known whether it had crashed
+	trials  trials       // as of this scheduling round
 
 	joined              bool         // it has reported to this planner
 	checkedIncarnations int          // Planner.incarnations when older incarnations were last looked for
