--- a/cmd/gypsumcrank/platform_test.go
+++ b/cmd/gypsumcrank/platform_test.go
@@ -34,7 +34,7 @@
 		Cmds: map[string]func(ts *testscript.TestScript, neg bool, args []string){
 			"platform": siteCmd((*site).start),
 			"submit":   siteCmd((*site).awaitAccepted),
-			"deadly":   siteCmd((*site).makeDeadly),
+			"crashing": siteCmd((*site).makeCrashing),
 			"reason":   siteCmd((*site).checkReason),
 			"cancel":   siteCmd((*site).awaitCancelled),
 			"shown":    siteCmd((*site).awaitState),
@@ -77,7 +77,7 @@
 	procs     map[string]*daemon
 	fronts    []string
 	executors map[string]*plat.Executor
-	deadly    sync.Map // jobs whose first task crashes each executor that starts it
+	crashing  sync.Map // jobs whose first task crashes each executor that starts it
 	onCrash   func(task string)
 	cleanups  []func()
 	checker   *plat.Checker
@@ -327,7 +327,7 @@
 // not.
 func (s *site) crashTime(task string) time.Duration {
 	job, first := strings.CutSuffix(task, ".0.0.0")
-	if _, deadly := s.deadly.Load(job); !first || !deadly {
+	if _, crashing := s.crashing.Load(job); !first || !crashing {
 		return 0
 	}
 	if s.onCrash != nil {
@@ -336,9 +336,9 @@
 	return crashDownTime
 }
 
-// makeDeadly makes the first task of a job crash each executor that starts it. Argument: ID.
-func (s *site) makeDeadly(args []string) error {
-	s.deadly.Store(args[0], true)
+// makeCrashing makes the first task of a job crash each executor that starts it. Argument: ID.
+func (s *site) makeCrashing(args []string) error {
+	s.crashing.Store(args[0], true)
 	return nil
 }
 
--- a/cmd/gypsumcrank/soak_crash_test.go
+++ b/cmd/gypsumcrank/soak_crash_test.go
@@ -52,7 +52,7 @@
 	switch c.r.IntN(16) {
 	case 0:
 		id := fmt.Sprintf("%016x", c.r.Uint64())
-		s.deadly.Store(id, true)
+		s.crashing.Store(id, true)
 		s.submit(id, soakStep{1 + c.r.IntN(3), 1 + c.r.IntN(4), false}, s.fronts[c.r.IntN(len(s.fronts))])
 	case 1:
 		s.resize(randomKey(c.r, s.executors), 1+c.r.IntN(soakCapacity))
--- a/cmd/gypsumcrank/soak_test.go
+++ b/cmd/gypsumcrank/soak_test.go
@@ -378,7 +378,7 @@
 			st := s.steps[id]
 			first := done[fmt.Sprint(id, 0)]
 			firstDone := first >= st.count || st.gang && first > 0
-			if _, deadly := s.deadly.Load(id); deadly || s.cancelled[id] || firstDone && done[fmt.Sprint(id, 1)] >= soakSecondStep {
+			if _, crashing := s.crashing.Load(id); crashing || s.cancelled[id] || firstDone && done[fmt.Sprint(id, 1)] >= soakSecondStep {
 				continue
 			}
 			waiting = true
@@ -422,7 +422,7 @@
 		if s.cancelled[id] {
 			continue
 		}
-		if _, deadly := s.deadly.Load(id); deadly {
+		if _, crashing := s.crashing.Load(id); crashing {
 			if err := s.awaitState([]string{id, "failed", fmt.Sprint(soakEndTimeout)}); err != nil {
 				s.t.Errorf("a job that crashes its executors was not given up: %v", err)
 			}
--- a/core/crash/crash.go
+++ b/core/crash/crash.go
@@ -32,10 +32,10 @@
 	// prompt one, which is unlikely to be a coincidence.
 	promptLimit = 100 * clock.Millisecond
 	// A task is given up when the blame for crashes that only its own job can have caused
-	// reaches deadlyBlame: after two prompt ones, or three.
+	// reaches giveUpBlame: after two prompt ones, or three.
 	promptBlame = 3
 	lateBlame   = 2
-	deadlyBlame = 6
+	giveUpBlame = 6
 	// maxCandidacies is in how many crashes a task may be a candidate, if it was the culprit
 	// in one of them.
 	maxCandidacies = 4
@@ -114,7 +114,7 @@
 }
 
 // History is what the crashes under a task say about it: at first nothing; then it may be a
-// suspect, until a run of it has lasted (Proved) or it is given up (Deadly, Exhausted). It is
+// suspect, until a run of it has lasted (Proved) or it is given up (MustGiveUp, Exhausted). It is
 // stored with the task's progress. The zero value is that of a task under which no worker has crashed.
 type History struct {
 	Crashes     int          `json:"crashes,omitempty"`
@@ -210,8 +210,8 @@
 // Likely reports whether the task is far more likely than not to crash its next worker.
 func (h History) Likely() bool { return h.Suspect() && h.Blame >= promptBlame }
 
-// Deadly reports whether the task is to be given up: by all that is known it crashes
+// MustGiveUp reports whether the task is to be given up: by all that is known it crashes
 // each worker that starts it.
-func (h History) Deadly() bool {
-	return h.Blame >= deadlyBlame || h.Blame > 0 && h.Candidacies >= maxCandidacies
+func (h History) MustGiveUp() bool {
+	return h.Blame >= giveUpBlame || h.Blame > 0 && h.Candidacies >= maxCandidacies
 }
--- a/core/crash/crash_test.go
+++ b/core/crash/crash_test.go
@@ -23,7 +23,7 @@
 		fmt.Println(verdicts)
 		suspect = suspect.Add(verdicts[len(verdicts)-1], c)
 	}
-	fmt.Println(suspect.Deadly())
+	fmt.Println(suspect.MustGiveUp())
 	// Output:
 	// [bystander bystander culprit]
 	// [culprit]
@@ -60,7 +60,7 @@
 	h = h.Lasted(1500)
 	c.Check(h.Suspect(), qt.IsFalse)
 	h = h.Add(crash.Culprit, crash.Crash{Host: "side-2", Lasted: 1500, Within: 2000})
-	c.Check(h.Deadly(), qt.IsFalse) // it has proved itself in between
+	c.Check(h.MustGiveUp(), qt.IsFalse) // it has proved itself in between
 	c.Check(h.Lasted(30_000), qt.Equals, crash.History{})
 }
 
@@ -83,7 +83,7 @@
 			if rapid.Bool().Draw(t, "dated") {
 				c.Within = after + 10
 			}
-			runs := []crash.Run{{Job: "deadly", Crash: c, History: h}}
+			runs := []crash.Run{{Job: "crashing", Crash: c, History: h}}
 			for range rapid.IntRange(0, 4).Draw(t, "fellows") {
 				lasted := clock.Millis(rapid.IntRange(0, 5000).Draw(t, "fellow_lasted"))
 				if apart {
@@ -96,7 +96,7 @@
 				runs = append(runs, fellow)
 			}
 			h = h.Lasted(lasted).Add(crash.Judge(runs)[0], c)
-			if h.Deadly() {
+			if h.MustGiveUp() {
 				return
 			}
 		}
@@ -106,12 +106,12 @@
 
 // A host that crashes twice under an innocent task is likely to be the cause itself, and
 // crashes at random moments may be a coincidence.
-func TestCoincidencesDoNotShowThatATaskIsDeadly(t *testing.T) {
+func TestCoincidencesDoNotShowThatATaskIsToBlame(t *testing.T) {
 	on := func(host string, within clock.Millis) crash.Crash { return crash.Crash{Host: host, Within: within} }
 	for _, test := range []struct {
 		name    string
 		crashes []crash.Crash
-		deadly  bool
+		giveUp  bool
 	}{
 		{"promptly on two hosts", []crash.Crash{on("a", 12), on("b", 20)}, true},
 		{"promptly on one host", []crash.Crash{on("a", 12), on("a", 20)}, false},
@@ -125,6 +125,6 @@
 		for _, c := range test.crashes {
 			h = h.Add(crash.Culprit, c)
 		}
-		qt.Check(t, h.Deadly(), qt.Equals, test.deadly, qt.Commentf(test.name))
+		qt.Check(t, h.MustGiveUp(), qt.Equals, test.giveUp, qt.Commentf(test.name))
 	}
 }
--- a/core/plan/crash.go
+++ b/core/plan/crash.go
@@ -76,7 +76,7 @@
 	for i, e := range ended {
 		runs[i] = crash.Run{Crash: e.crash, Job: e.unit.job.ID, History: e.unit.crashes}
 	}
-	var deadly []*unit
+	var culprits []*unit
 	for i, verdict := range crash.Judge(runs) {
 		e := ended[i]
 		u := e.unit
@@ -88,16 +88,16 @@
 		p.emit(Event{Kind: "worker_crashed_under", Job: u.job.ID, Task: u.fullName, Worker: w.node, Run: e.run, Wait: e.crash.Lasted,
 			Labels: []string{verdict.String(), u.job.Queue, u.job.Account},
 			Detail: fmt.Sprintf("verdict=%s others=%d within=%s crashes=%d blame=%d suspect=%t", verdict, len(ended)-1, e.crash.Within, u.crashes.Crashes, u.crashes.Blame, u.crashes.Suspect())})
-		if u.crashes.Deadly() {
-			deadly = append(deadly, u)
+		if u.crashes.MustGiveUp() {
+			culprits = append(culprits, u)
 		}
 	}
-	return deadly
+	return culprits
 }
 
 // giveUp fails the jobs of tasks that crash the workers that start them.
-func (p *Planner) giveUp(deadly []*unit) {
-	for _, u := range deadly {
+func (p *Planner) giveUp(culprits []*unit) {
+	for _, u := range culprits {
 		if !u.job.state.Ended() {
 			p.endJob(u.job, task.Failed, fmt.Sprintf("task %s crashed the workers that started it, %d so far", u.fullName, u.crashes.Crashes))
 		}
--- a/core/plan/crash_test.go
+++ b/core/plan/crash_test.go
@@ -21,7 +21,7 @@
 	startLimit = 3
 )
 
-// crash ends the worker's process because of a deadly run. It is back after downFor
+// crash ends the worker's process because of a run. It is back after downFor
 // as a new incarnation.
 func (h *host) crash(culprit *run) {
 	f := h.f
@@ -43,7 +43,7 @@
 	})
 }
 
-// checkCrashes fails the test if a deadly task is started too often.
+// checkCrashes fails the test if a crashing task is started too often.
 func (f *fleet) checkCrashes(r *run) {
 	name := r.name.String()
 	if f.crashes[name] < crashLimit {
@@ -54,10 +54,10 @@
 	}
 }
 
-// deadlyJobs makes the first task of each of these jobs deadly.
-func (f *fleet) deadlyJobs(ids ...string) {
+// crashingJobs makes the first task of each of these jobs crash each worker that starts it.
+func (f *fleet) crashingJobs(ids ...string) {
 	f.crashAfter, f.downFor = 10, usualDownTime
-	f.deadly = func(n task.Name) bool {
+	f.crashing = func(n task.Name) bool {
 		for _, id := range ids {
 			if n.Job == id && n.Index == 0 {
 				return true
@@ -94,11 +94,11 @@
 // Guards against the incident in which one task crashed worker after worker (BUDGET).
 func TestATaskThatCrashesItsWorkersIsGivenUp(t *testing.T) {
 	f := newFleet(t, 6, 3, workerResources)
-	f.deadlyJobs("deadly")
+	f.crashingJobs("crashing")
 	f.submitInnocent(8)
-	f.submit(oneTask("deadly", 1))
+	f.submit(oneTask("crashing", 1))
 	f.finish(60_000)
-	f.checkStates("deadly")
+	f.checkStates("crashing")
 	for name, n := range f.lostBeside {
 		qt.Check(t, n <= 1, qt.IsTrue, qt.Commentf("%s was lost with its worker %d times", name, n))
 	}
@@ -107,19 +107,19 @@
 // What a planner knows of crashes must reach the next one.
 func TestACrashingTaskIsGivenUpAcrossTakeovers(t *testing.T) {
 	f := newFleet(t, 6, 3, workerResources)
-	f.deadlyJobs("deadly")
+	f.crashingJobs("crashing")
 	f.submitInnocent(8)
-	f.submit(oneTask("deadly", 1))
-	for crashes := 0; f.finishedAt["deadly"] == 0; {
+	f.submit(oneTask("crashing", 1))
+	for crashes := 0; f.finishedAt["crashing"] == 0; {
 		f.run(100)
-		if n := f.crashes["deadly.0.0.0"]; n > crashes {
+		if n := f.crashes["crashing.0.0.0"]; n > crashes {
 			crashes = n
 			f.run(f.downFor + 500)
 			f.takeOver()
 		}
 	}
 	f.finish(60_000)
-	f.checkStates("deadly")
+	f.checkStates("crashing")
 }
 
 // A task may crash its worker at any time of its run.
@@ -128,12 +128,12 @@
 		for _, down := range []clock.Millis{usualDownTime, 8000, 20_000} { // the longer ones exceed the leases
 			t.Run(fmt.Sprint(after, " down for ", down), func(t *testing.T) {
 				f := newFleet(t, 9, 3, workerResources)
-				f.deadlyJobs("deadly")
+				f.crashingJobs("crashing")
 				f.crashAfter, f.downFor = after, down
 				f.submitInnocent(8)
-				f.submit(jobOf("deadly", 1, 8000, 1))
+				f.submit(jobOf("crashing", 1, 8000, 1))
 				f.finish(200_000)
-				f.checkStates("deadly")
+				f.checkStates("crashing")
 			})
 		}
 	}
@@ -154,7 +154,7 @@
 	for _, j := range []*task.Job{gang, service, recurring, later} {
 		t.Run(j.ID, func(t *testing.T) {
 			f := newFleet(t, 6, 3, workerResources)
-			f.deadlyJobs(j.ID)
+			f.crashingJobs(j.ID)
 			f.submitInnocent(4)
 			f.submit(j)
 			f.finish(90_000)
@@ -163,14 +163,14 @@
 	}
 }
 
-// Service tasks beside a deadly one are started again and again, and are never given up.
-func TestServiceTasksBesideADeadlyTaskAreKept(t *testing.T) {
+// Service tasks beside a crashing one are started again and again, and are never given up.
+func TestServiceTasksBesideACrashingTaskAreKept(t *testing.T) {
 	f := newFleet(t, 3, 3, workerResources)
 	ids := []string{}
 	for i := range 6 {
-		ids = append(ids, fmt.Sprintf("deadly%d", i))
+		ids = append(ids, fmt.Sprintf("crashing%d", i))
 	}
-	f.deadlyJobs(ids...)
+	f.crashingJobs(ids...)
 	service := jobOf("service", 6, 1000, 1)
 	service.Steps[0].Service = true
 	f.submit(service)
@@ -186,9 +186,9 @@
 	}
 }
 
-// Deadly tasks beside innocent ones, on workers that crash by themselves, are removed at
+// Crashing tasks beside innocent ones, on workers that crash by themselves, are removed at
 // short notice or are cut off, under planners that change: no innocent job fails, and no
-// deadly task is started too often.
+// crashing task is started too often.
 func TestInnocentWorkIsKeptUnderRandomFailures(t *testing.T) {
 	// Seeds that failed: single crashes were blamed too much, on one host or at random moments.
 	// 32, 222 and 276 were started too often: trials were not apart enough.
@@ -200,8 +200,8 @@
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			r := rand.New(rand.NewPCG(seed, 7))
 			f := newFleet(t, 8, 3, workerResources)
-			deadly := []string{"j02", "j07", "j11"}
-			f.deadlyJobs(deadly...)
+			crashing := []string{"j02", "j07", "j11"}
+			f.crashingJobs(crashing...)
 			f.crashAfter = []clock.Millis{10, 10, 400, 2000}[r.IntN(4)]
 			for i := range 14 {
 				j := randomJob(r, fmt.Sprintf("j%02d", i))
@@ -237,7 +237,7 @@
 			}
 			f.finish(200_000)
 			for _, id := range f.ids() {
-				if d := f.deadly(task.Name{Job: id}); !d || f.records[id].State != task.Failed {
+				if d := f.crashing(task.Name{Job: id}); !d || f.records[id].State != task.Failed {
 					qt.Check(t, f.records[id].State, qt.Equals, task.Completed, qt.Commentf("%s: %s", id, f.records[id].Reason))
 				}
 			}
--- a/core/plan/fleet_test.go
+++ b/core/plan/fleet_test.go
@@ -53,12 +53,12 @@
 	disturbedAt      clock.Millis            // when something was last disturbed
 	standingSince    map[string]clock.Millis // since when a job could start and does not, by job
 	evicted          int
-	deadly           func(name task.Name) bool // whether a task crashes each worker that starts it
+	crashing         func(name task.Name) bool // whether a task crashes each worker that starts it
 	crashAfter       clock.Millis              // how long after its start
 	downFor          clock.Millis              // how long the worker is down then
-	crashes          map[string]int            // workers that crashed under a deadly task
+	crashes          map[string]int            // workers that crashed under such a task
 	startsAfter      map[string]int            // its starts after startsAllowedAfter of them
-	lostBeside       map[string]int            // runs that a crash of a deadly task took along, by task
+	lostBeside       map[string]int            // runs that such a crash took along, by task
 	lostWork         float64                   // core-milliseconds of work that were stopped and not saved
 }
 
--- a/core/plan/host_test.go
+++ b/core/plan/host_test.go
@@ -177,7 +177,7 @@
 			continue
 		}
 		f.progress(h, name, r)
-		if f.deadly != nil && f.deadly(r.name) && f.now-r.placedAt >= f.crashAfter {
+		if f.crashing != nil && f.crashing(r.name) && f.now-r.placedAt >= f.crashAfter {
 			h.crash(r)
 			return
 		}
--- a/core/plan/lease.go
+++ b/core/plan/lease.go
@@ -51,9 +51,9 @@
 		return
 	}
 	// No process listens there: its next incarnation may take longer than the task is worth.
-	deadly := p.judgeCrash(w)
+	culprits := p.judgeCrash(w)
 	p.releaseAll(w, lostCrash)
-	p.giveUp(deadly)
+	p.giveUp(culprits)
 }
 
 // applyHandover releases the tasks of a worker that has given no lists to this
--- a/core/plan/worker.go
+++ b/core/plan/worker.go
@@ -187,9 +187,9 @@
 // could carry out a late order to the old one, so each run is stopped on w.
 func (p *Planner) replaceIncarnation(old, w *worker) {
 	cause := old.replacementLoss()
-	var deadly []*unit
+	var culprits []*unit
 	if cause == lostCrash {
-		deadly = p.judgeCrash(old)
+		culprits = p.judgeCrash(old)
 	}
 	if old.incarnation.ID == w.incarnation.ID {
 		units := old.sorted()
@@ -209,7 +209,7 @@
 		p.inheritTombstones(old, w)
 	}
 	p.markDead(old, "replaced by a newer incarnation", cause)
-	p.giveUp(deadly)
+	p.giveUp(culprits)
 }
 
 // markDead gives up an incarnation that has left or was replaced.
