Log by how old a configuration callers are admitted, and which peer a front reads through

So far only refusals had the age of the configuration that decided; an admission by an old version left no trace, so the incident's hypotheses could not be told apart. No decision changes.

--- a/cmd/gypsumcrank/front.go
+++ b/cmd/gypsumcrank/front.go
@@ -270,8 +270,9 @@
 			d.log.Error("config_unreadable", "revision", ch.Rev, "error", err)
 			continue
 		}
+		age := d.config.Age()
 		if d.config.Apply(c) {
-			d.log.Info("config_applied", "version", c.Version, "revision", ch.Rev, "queues", len(c.Queues), "accounts", len(c.Accounts))
+			d.log.Info("config_applied", "version", c.Version, "revision", ch.Rev, "config_age", age, "queues", len(c.Queues), "accounts", len(c.Accounts))
 			d.steer.Reconfigure(c)
 		}
 	}
--- a/core/route/route.go
+++ b/core/route/route.go
@@ -92,6 +92,10 @@
 	Queue   Queue
 	Account string // empty for a caller without a key, on a public queue
 	Rest    string // the path after the queue's prefix
+	// Version is the version that decided, and Age for how long it may have been out of
+	// date then; 0 if that is not known.
+	Version int64
+	Age     clock.Millis
 }
 
 // Admit decides whether a caller may use the queue that a host and path belong
@@ -109,7 +113,7 @@
 	if !known && !q.Public {
 		return Admission{}, fault.New(fault.Denied, "use a key of a client account", "the key is not known").WithOutcome(fault.NotRun)
 	}
-	return Admission{Queue: q, Account: account, Rest: rest}, nil
+	return Admission{Queue: q, Account: account, Rest: rest, Version: c.Version}, nil
 }
 
 // Current holds the newest configuration that the process has seen. It never
@@ -133,6 +137,7 @@
 // a newer version may hold it.
 func (cur *Current) Admit(host, path, key string) (Admission, error) {
 	a, err := cur.Get().Admit(host, path, key)
+	a.Age = cur.Age()
 	if err == nil || fault.Is(err, fault.StoreUnavailable) {
 		return a, err
 	}
@@ -171,6 +176,15 @@
 	return age
 }
 
+// MaxAge returns for how long the configuration may be out of date; 0 sets no limit.
+func (cur *Current) MaxAge() clock.Millis {
+	if cur.Freshness == nil {
+		return 0
+	}
+	_, limit := cur.Freshness()
+	return limit
+}
+
 // Apply replaces the configuration by c if c is newer, and reports whether it
 // did.
 func (cur *Current) Apply(c *Config) bool {
--- a/io/front/front.go
+++ b/io/front/front.go
@@ -59,6 +59,8 @@
 	Admit func(j *task.Job) (reason admit.Reason, age clock.Millis)
 	Clock clock.Clock
 	Log   *slog.Logger
+
+	agePeak agePeak
 }
 
 // Submit accepts a job of a queue. A nil error means that the job is stored. An
--- a/io/relay/relay.go
+++ b/io/relay/relay.go
@@ -347,6 +347,9 @@
 func (r *Relay) recordPeerReply(addr string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if r.lastPeer != addr {
+		r.Log.Info("store_relay_peer", "peer", addr, "last", r.lastPeer)
+	}
 	r.lastPeer = addr
 }
 
