--- a/core/clock/clock.go
+++ b/core/clock/clock.go
@@ -36,7 +36,8 @@
 
 // Clock tells the time. The zero value is the system clock.
 type Clock struct {
-	manual *atomic.Int64
+	manual    *atomic.Int64
+	suspended *atomic.Int64 // of a manual clock, the time in which its host was suspended
 }
 
 // System returns the system clock.
@@ -44,7 +45,7 @@
 
 // Manual returns a clock that stands at start until Advance moves it.
 func Manual(start Millis) Clock {
-	c := Clock{manual: new(atomic.Int64)}
+	c := Clock{manual: new(atomic.Int64), suspended: new(atomic.Int64)}
 	c.manual.Store(int64(start))
 	return c
 }
@@ -62,10 +63,10 @@
 
 // Monotonic returns a reading that never jumps; only differences between
 // readings of one process are meaningful. On a manual clock it is the same as
-// Now.
+// Now until Suspend is called.
 func (c Clock) Monotonic() Millis {
 	if c.manual != nil {
-		return Millis(c.manual.Load())
+		return Millis(c.manual.Load() - c.suspended.Load())
 	}
 	return FromDuration(time.Since(processStart)) + 1
 }
@@ -74,10 +75,11 @@
 // time in which the host was suspended. Only differences between its readings are
 // meaningful. It is the clock for permissions that others see expire meanwhile.
 func (c Clock) Boottime() Millis {
-	if c.manual == nil {
-		if t := boottime(); t > 0 {
-			return t
-		}
+	if c.manual != nil {
+		return c.Now()
+	}
+	if t := boottime(); t > 0 {
+		return t
 	}
 	return c.Monotonic()
 }
@@ -88,3 +90,12 @@
 		c.manual.Add(int64(by))
 	}
 }
+
+// Suspend moves a manual clock forward as if its host had been suspended:
+// Monotonic does not count that time. It has no effect on the system clock.
+func (c Clock) Suspend(by Millis) {
+	if c.manual != nil {
+		c.suspended.Add(int64(by))
+		c.manual.Add(int64(by))
+	}
+}
--- a/core/route/route_test.go
+++ b/core/route/route_test.go
@@ -83,3 +83,35 @@
 	_, err = cur.Admit("b.example", "/p/5c0e", "k1")
 	c.Check(fault.Is(err, fault.NotFound), qt.IsTrue)
 }
+
+// Guards against callers of dropped queues and revoked keys that are served by a front
+// whose configuration is out of date: one was admitted at an age of 18 s.
+func TestCallerIsNotAdmittedByStaleConfiguration(t *testing.T) {
+	c := qt.New(t)
+	var age clock.Millis
+	cur := &Current{Freshness: func() (clock.Millis, clock.Millis) { return age, 2 * clock.Second }}
+	cur.Apply(config(1))
+	for _, age = range []clock.Millis{0, 2 * clock.Second, 2*clock.Second + 1, 20 * clock.Second} {
+		_, err := cur.Admit("a.example", "/p/5c0e", "k1")
+		if age <= 2*clock.Second {
+			c.Check(err, qt.IsNil)
+			continue
+		}
+		c.Assert(fault.Is(err, fault.StoreUnavailable), qt.IsTrue, qt.Commentf("age %s", age))
+		c.Check(fault.Of(err).Outcome, qt.Equals, fault.NotRun)
+		c.Check(fault.Of(err).RetryAfter > 0, qt.IsTrue)
+	}
+}
+
+// Guards against a decision by one version that is judged by the age of the next.
+func TestAgeIsThatOfTheVersionThatDecides(t *testing.T) {
+	c := qt.New(t)
+	cur := &Current{}
+	cur.Apply((&Config{Version: 1}).Prepare())
+	cur.Freshness = func() (clock.Millis, clock.Millis) {
+		cur.Apply(config(2)) // another goroutine applies it at the worst moment
+		return 0, 2 * clock.Second
+	}
+	_, err := cur.Admit("a.example", "/p/5c0e", "k1")
+	c.Check(err, qt.IsNil)
+}
--- a/io/mirror/mirror.go
+++ b/io/mirror/mirror.go
@@ -52,6 +52,7 @@
 type Mirror struct {
 	Prefix string
 	Store  store.TxnStore
+	Clock  clock.Clock
 	Log    *slog.Logger
 	// OnChange is called with changes in order, from one goroutine.
 	OnChange func([]store.Change)
@@ -126,7 +127,7 @@
 func (m *Mirror) Freshness() (age, maxDelay clock.Millis) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return clock.System().Monotonic() - m.confirmedAt, clock.Millis(m.maxDelay.Load())
+	return m.Clock.Monotonic() - m.confirmedAt, clock.Millis(m.maxDelay.Load())
 }
 
 // ConfirmedAt returns the monotonic time up to which the copy holds all changes; 0
@@ -158,7 +159,7 @@
 	if m.rev >= m.expectedRev || m.cancelPoll == nil {
 		return
 	}
-	now := clock.System().Monotonic()
+	now := m.Clock.Monotonic()
 	delay := m.lastContact + silentAfter - now
 	if m.relistedAt > 0 {
 		delay = max(delay, m.relistedAt+relistInterval-now)
@@ -240,7 +241,7 @@
 
 // list reads all keys and applies what differs from the copy.
 func (m *Mirror) list(ctx context.Context) error {
-	sent := clock.System().Monotonic()
+	sent := m.Clock.Monotonic()
 	kvs, rev, err := m.Store.List(ctx, m.Prefix)
 	if err != nil {
 		return err
@@ -285,7 +286,7 @@
 		time.AfterFunc(expectWait.Duration(), m.relistIfBehind)
 	}
 	m.mu.Unlock()
-	sent := clock.System().Monotonic()
+	sent := m.Clock.Monotonic()
 	wait, bounded := m.pollWait()
 	if bounded {
 		var stop context.CancelFunc
@@ -327,7 +328,7 @@
 		m.OnChange(fresh)
 	}
 	m.mu.Lock()
-	now := clock.System().Monotonic()
+	now := m.Clock.Monotonic()
 	wait, _ := m.pollWait()
 	if quiet := now - m.lastContact; m.lastContact > 0 && quiet > wait+lateMargin && len(fresh) > 0 {
 		m.Log.Warn("mirror_late", "prefix", m.Prefix, "quiet_for", quiet, "changes", len(fresh), "from", from, "revision", rev)
--- a/io/mirror/mirror_test.go
+++ b/io/mirror/mirror_test.go
@@ -22,9 +22,13 @@
 	t.Cleanup(srv.CloseClientConnections)
 	k := platform.NewKV(strings.TrimPrefix(srv.URL, "http://"))
 	m := &mirror.Mirror{Prefix: "a/", Store: k, MaxDelay: maxDelay, Log: slog.New(slog.DiscardHandler)}
+	startMirror(t, m)
+	return m, k
+}
+
+func startMirror(t *testing.T, m *mirror.Mirror) {
 	qt.Assert(t, m.Start(context.Background(), nil), qt.IsNil)
 	t.Cleanup(func() { _ = m.Stop(context.Background()) })
-	return m, k
 }
 
 // Guards against late changes while a watch is silent. In run scale-2 of
@@ -71,3 +75,21 @@
 		c.Check(time.Since(began) < 2*time.Second, qt.IsTrue, qt.Commentf("took %s", time.Since(began)))
 	}
 }
+
+// Guards against a copy that counts as young on a host that was suspended: the monotonic
+// clock stands still meanwhile.
+func TestSuspensionCountsForTheAgeOfACopy(t *testing.T) {
+	c, clk := qt.New(t), clock.Manual(1000)
+	s := plat.NewStore()
+	srv := httptest.NewServer(s)
+	t.Cleanup(srv.CloseClientConnections)
+	m := &mirror.Mirror{Prefix: "a/", Store: platform.NewKV(strings.TrimPrefix(srv.URL, "http://")), MaxDelay: 2 * clock.Second, Clock: clk, Log: slog.New(slog.DiscardHandler)}
+	startMirror(t, m)
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	c.Assert(m.Wait(ctx, 1), qt.IsNil)
+	s.SetFault(plat.Silent)
+	clk.Suspend(7 * clock.Second)
+	age, _ := m.Freshness()
+	c.Check(age >= 7*clock.Second, qt.IsTrue, qt.Commentf("age %s", age))
+}
--- a/io/relay/relay_test.go
+++ b/io/relay/relay_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"log/slog"
 	"net"
 	"net/http/httptest"
@@ -230,6 +231,109 @@
 	c.Check(time.Since(began) < 3*time.Second, qt.IsTrue, qt.Commentf("took %s", time.Since(began)))
 }
 
+// turnedAway is a front that the store refuses, with seven peers: some of them are refused
+// as well, and the store serves the others. Proxies stand before the peers.
+type turnedAway struct {
+	*relay.Relay
+	serving *plat.Store
+	proxies []*plat.Proxy
+}
+
+func newTurnedAway(t *testing.T, refused int) *turnedAway {
+	busy := plat.NewStore()
+	busy.SetFault(plat.Busy)
+	f := &turnedAway{serving: plat.NewStore()}
+	f.serving.Put("op/config", []byte("{}"))
+	var addrs []string
+	for i := range 7 {
+		s := f.serving
+		if i < refused {
+			s = busy
+		}
+		p := newProxy(t, servePeer(t, newStoreClient(t, s)))
+		f.proxies, addrs = append(f.proxies, p), append(addrs, p.Addr())
+	}
+	f.Relay = newRelay(t, newStoreClient(t, busy), addrs...)
+	return f
+}
+
+// check checks that reads, writes and leases succeed within the time that a change of the
+// configuration has.
+func (f *turnedAway) check(c *qt.C) {
+	ctx, cancel := context.WithTimeout(context.Background(), 3*time.Second)
+	defer cancel()
+	for f.list(ctx) != nil && ctx.Err() == nil {
+		time.Sleep(100 * time.Millisecond)
+	}
+	c.Assert(ctx.Err(), qt.IsNil, qt.Commentf("no list succeeded"))
+	res, err := store.CommitWithRetry(ctx, f, put("a/x"), 3)
+	c.Check(err, qt.IsNil)
+	c.Check(res.Committed, qt.IsTrue)
+	lease, err := f.Grant(ctx, 2*clock.Second)
+	c.Check(err, qt.IsNil)
+	c.Check(f.KeepAlive(ctx, lease), qt.IsNil)
+}
+
+func (f *turnedAway) list(ctx context.Context) error {
+	_, _, err := f.List(ctx, "op/")
+	return err
+}
+
+// Guards against a front that asks refused peers for ever: the store turned away five of
+// eight fronts, and four of them got no configuration for 17.7 s
+// (docs/incidents/refused-peers.md).
+func TestRefusedPeersDoNotHideServedOnes(t *testing.T) {
+	for _, refused := range []int{2, 4, 6} {
+		t.Run(fmt.Sprint(refused), func(t *testing.T) { newTurnedAway(t, refused).check(qt.New(t)) })
+	}
+}
+
+// Guards against a peer that is asked last for ever because it once did not reply.
+func TestPeersThatWereFrozenOnceAreAskedAgain(t *testing.T) {
+	f := newTurnedAway(t, 2)
+	for _, p := range f.proxies[2:] {
+		p.Set(plat.Silence)
+	}
+	for range 3 {
+		_ = f.list(context.Background()) // fails, and finds out that five peers don't reply
+	}
+	for _, p := range f.proxies[2:] {
+		p.Set(plat.Pass)
+	}
+	f.check(qt.New(t))
+}
+
+// Guards against time-outs that add up beyond the 2 s that a change has: open connections
+// to the store and to all peers go silent, and three of seven peers freeze.
+func TestChangeArrivesThroughThePeersThatAreLeft(t *testing.T) {
+	c := qt.New(t)
+	s := plat.NewStore()
+	srv := httptest.NewServer(s)
+	t.Cleanup(srv.CloseClientConnections)
+	toStore := newProxy(t, strings.TrimPrefix(srv.URL, "http://"))
+	var peers []*plat.Proxy
+	var addrs []string
+	for range 7 {
+		p := newProxy(t, servePeer(t, newStoreClient(t, s)))
+		peers, addrs = append(peers, p), append(addrs, p.Addr())
+	}
+	r := newRelay(t, platform.NewKV(toStore.Addr()), addrs...)
+	m := &mirror.Mirror{Prefix: "op/", Store: r, Log: slog.New(slog.DiscardHandler), MaxDelay: 2 * clock.Second}
+	c.Assert(m.Start(context.Background(), nil), qt.IsNil)
+	t.Cleanup(func() { _ = m.Stop(context.Background()) })
+	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
+	defer cancel()
+	c.Assert(m.Wait(ctx, 1), qt.IsNil)
+	toStore.Set(plat.Silence)
+	for _, p := range peers[:3] {
+		p.Set(plat.Silence)
+	}
+	s.Put("op/config", []byte("{}"))
+	began := time.Now()
+	c.Assert(m.Wait(ctx, 2), qt.IsNil)
+	c.Check(time.Since(began) < 2*time.Second, qt.IsTrue, qt.Commentf("took %s", time.Since(began)))
+}
+
 // Guards against a read that waits for a frozen peer until its time is over: a
 // change of the configuration has to be in force within 2 s.
 func TestReadGoesThroughNextPeerWhenOneIsFrozen(t *testing.T) {
--- a/io/steer/term_test.go
+++ b/io/steer/term_test.go
@@ -1,6 +1,8 @@
 package steer
 
 import (
+	"bytes"
+	"fmt"
 	"log/slog"
 	"net"
 	"testing"
@@ -22,7 +24,7 @@
 	conn, side := link.New(here), link.New(there)
 	t.Cleanup(conn.Close)
 	t.Cleanup(side.Close)
-	coord := &Coordinator{Clock: clk, Mirror: &mirror.Mirror{}, Log: slog.New(slog.DiscardHandler)}
+	coord := &Coordinator{Clock: clk, Mirror: &mirror.Mirror{}, Config: &route.Current{}, Log: slog.New(slog.DiscardHandler)}
 	tm := &term{
 		coord: coord, epoch: 7, leaseTTL: 1500, leaseValidUntil: clk.Boottime() + 1500, conns: map[string]*link.Conn{},
 		planner: &plan.Planner{Epoch: 7, Settings: plan.DefaultSettings()}, ended: make(chan string, 1),
@@ -73,3 +75,17 @@
 	tm.Update(plan.TickMsg{})
 	c.Check(received(side), qt.Equals, 1) // job a's start is ordered
 }
+
+// Guards against a planner that obeys an old configuration while messages wait before the
+// new one: at ten times the load it was 1.2 s late, with no bound.
+func TestPlannerObeysTheNewestConfigurationWithEachMessage(t *testing.T) {
+	c := qt.New(t)
+	tm, _, _ := termOnSide(t, clock.Manual(1_000_000))
+	var log bytes.Buffer
+	tm.coord.Log = slog.New(slog.NewTextHandler(&log, nil))
+	for _, version := range []int64{2, 5} {
+		tm.coord.Config.Apply((&route.Config{Version: version}).Prepare())
+		tm.Update(oneTaskJob("a"))
+		c.Check(log.String(), qt.Contains, fmt.Sprintf("version %d", version))
+	}
+}
