Relay asks all peers in turn, served ones first, instead of the same two for ever

Cause: a call tried two peers, in an order that a refusal did not change. A refused peer was asked again by the next call, and a peer that once had not replied was ranked last for as long as the process lived.

Change: ranking keeps the latest outcome of each peer. First comes the one through which the store responded last, then those of which nothing bad is known, in random order, then refused ones for 2 s, then silent ones for 5 s, in both groups the one that was asked longest ago first. So the calls go round all peers; one call asks four refused ones at most, and waits for five silent ones, two at a time. A lease's renewal may be repeated, so it takes that way too. The list of the jobs gets the time that 1 MB takes at 10 Mbit/s.

--- a/cmd/gypsumcrank/front.go
+++ b/cmd/gypsumcrank/front.go
@@ -61,7 +61,7 @@
 	}
 	d.seeds.Store(&settings.Peers)
 	d.index = &front.Index{Log: log}
-	d.relay = &relay.Relay{Direct: direct, Peers: d.peers, Log: log}
+	d.relay = &relay.Relay{Direct: direct, Peers: d.peers, Bulk: store.Root, Log: log}
 	d.store = d.relay
 	d.jobMirror = &mirror.Mirror{Prefix: store.Root, Store: d.store, Log: log, OnChange: d.index.Apply}
 	d.configMirror = &mirror.Mirror{Prefix: platform.ConfigRoot, Store: d.store, Log: log, OnChange: d.applyOperatorChanges, MaxDelay: settings.OperatorDelay()}
--- a/io/relay/peer.go
+++ b/io/relay/peer.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"gypsumcrank/core/admit"
+	"gypsumcrank/core/clock"
 	"gypsumcrank/core/fault"
 	"gypsumcrank/io/link"
 	"gypsumcrank/io/store"
@@ -41,8 +42,8 @@
 	}
 }
 
-// call sends a call and waits for its reply.
-func (p *peer) call(ctx context.Context, c link.Call) (link.Reply, error) {
+// call sends a call and waits for its reply, at most for the given time.
+func (p *peer) call(ctx context.Context, c link.Call, wait clock.Millis) (link.Reply, error) {
 	ch := make(chan link.Reply, 1)
 	p.mu.Lock()
 	p.next++
@@ -50,10 +51,6 @@
 	p.waiting[c.ID] = ch
 	p.mu.Unlock()
 	p.conn.Send(link.Frame{Call: &c})
-	wait := callTimeout
-	if c.Op == link.OpPoll {
-		wait += c.Wait
-	}
 	timeout := time.NewTimer(wait.Duration())
 	defer timeout.Stop()
 	select {
--- a/io/relay/relay.go
+++ b/io/relay/relay.go
@@ -10,8 +10,6 @@
 import (
 	"context"
 	"log/slog"
-	"slices"
-	"sort"
 	"sync"
 	"time"
 
@@ -36,8 +34,9 @@
 	callTimeout = 800 * clock.Millisecond
 	// idleTimeout is how long a connection between peers may be idle.
 	idleTimeout = 20 * clock.Second
-	// maxPeers is how many peers one call tries.
-	maxPeers = 2
+	// maxRefused is how many peers that pass on the store's refusal one call asks. The
+	// next call asks others.
+	maxRefused = 4
 )
 
 // Relay is a store.TxnStore that falls back to peers. Set the exported fields
@@ -46,16 +45,17 @@
 	Direct store.TxnStore
 	// Peers returns the addresses of processes that may serve a call.
 	Peers func() []string
-	Log   *slog.Logger
+	// Bulk is the prefix whose lists are large; they get more time.
+	Bulk string
+	Log  *slog.Logger
 
 	mu           sync.Mutex
 	viaPeers     bool
 	directCtx    context.Context // cancelled when calls switch to peers or back
 	cancelDirect context.CancelFunc
-	lastSuccess  clock.Millis            // when the store last responded to a call, on the monotonic clock
-	recovered    chan struct{}           // closed when a call succeeds again; nil unless the last one failed
-	lastPeer     string                  // peer that replied last
-	peerFailedAt map[string]clock.Millis // when a peer last did not reply, by address
+	lastSuccess  clock.Millis  // when the store last responded to a call, on the monotonic clock
+	recovered    chan struct{} // closed when a call succeeds again; nil unless the last one failed
+	ranking      ranking
 	conns        map[string]*peer
 	failures     failureLog
 	cancel       context.CancelFunc
@@ -214,8 +214,8 @@
 			return reply, err
 		}
 	}
-	if isRead(c.Op) {
-		return r.read(ctx, c)
+	if mayRepeat(c.Op) {
+		return r.callPeersHedged(ctx, c)
 	}
 	reply, err := r.callPeers(ctx, c)
 	if err != nil && fault.Of(err).Outcome == fault.NotRun && ctx.Err() == nil {
@@ -224,35 +224,20 @@
 	return reply, err
 }
 
-// callPeers makes a call through a peer. It tries the next one if the store is
-// unavailable through the last, unless the call is a write that may have happened.
+// callPeers makes a call that must not be repeated through a peer. It asks the next one if
+// it is certain that the call had no effect, or if that would do no harm.
 func (r *Relay) callPeers(ctx context.Context, c link.Call) (link.Reply, error) {
 	err := error(unavailable("no peer is known"))
 	for i, addr := range r.rankedPeers() {
-		if i == maxPeers {
+		if i == maxRefused || ctx.Err() != nil {
 			break
 		}
-		var p *peer
-		if p, err = r.peer(addr); err != nil {
-			err = unavailable("peer %s is unreachable: %v", addr, err)
-			r.recordPeerFailure(addr)
-			continue
-		}
-		began := clock.System().Monotonic()
 		var reply link.Reply
-		reply, err = p.call(ctx, c)
-		if err == nil && reply.Err == nil {
-			r.recordPeerReply(addr)
-			return reply, nil
-		}
-		if err == nil {
-			err = reply.Err
-		} else {
-			r.recordPeerFailure(addr)
-			r.dropPeer(addr, p)
+		reply, err = r.callPeer(ctx, c, addr)
+		if err == nil || !fault.Is(err, fault.StoreUnavailable) {
+			return reply, err
 		}
-		r.failures.write(r.Log, addr, c, clock.System().Monotonic()-began, err)
-		if c.Op == link.OpCommit && fault.Of(err).Outcome != fault.NotRun || !fault.Is(err, fault.StoreUnavailable) {
+		if c.Op == link.OpCommit && fault.Of(err).Outcome != fault.NotRun {
 			return reply, err
 		}
 	}
@@ -263,20 +248,9 @@
 	return fault.New(fault.StoreUnavailable, "wait until the store serves this host or a peer is up", format, args...).WithOutcome(fault.NotRun)
 }
 
-// rankedPeers returns the peers in the order of trying: the one that replied
-// last comes first, the one that failed last comes last.
+// rankedPeers returns the peers in the order of asking.
 func (r *Relay) rankedPeers() []string {
-	out := slices.Clone(r.Peers())
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	rank := func(a string) clock.Millis {
-		if a == r.lastPeer {
-			return -1
-		}
-		return r.peerFailedAt[a]
-	}
-	sort.SliceStable(out, func(i, j int) bool { return rank(out[i]) < rank(out[j]) })
-	return out
+	return r.ranking.order(r.Peers(), clock.System().Monotonic())
 }
 
 // notifyBackoff is how long a peer that could not be reached is sent no
@@ -290,8 +264,9 @@
 // Send sends a peer a frame that needs no reply, without waiting. It may be lost.
 func (r *Relay) Send(addr string, f link.Frame) {
 	r.mu.Lock()
-	p, failed := r.conns[addr], r.peerFailedAt[addr]
+	p := r.conns[addr]
 	r.mu.Unlock()
+	failed := r.ranking.failedAt(addr)
 	switch {
 	case p != nil:
 		p.conn.Send(f)
@@ -304,7 +279,7 @@
 func (r *Relay) runSend(addr string, f link.Frame) {
 	p, err := r.peer(addr)
 	if err != nil {
-		r.recordPeerFailure(addr)
+		r.recordPeer(addr, silent)
 		r.Log.Debug("news_not_sent", "to", addr, "revision", f.WrittenRev, "error", err)
 		return
 	}
@@ -343,34 +318,12 @@
 	r.dropPeer(addr, p)
 }
 
-// recordPeerReply records that a peer replied.
-func (r *Relay) recordPeerReply(addr string) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if r.lastPeer != addr {
-		r.Log.Info("store_relay_peer", "peer", addr, "last", r.lastPeer)
-	}
-	r.lastPeer = addr
-}
-
-// recordPeerFailure records that a peer did not reply.
-func (r *Relay) recordPeerFailure(addr string) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if r.peerFailedAt == nil {
-		r.peerFailedAt = make(map[string]clock.Millis)
-	}
-	r.peerFailedAt[addr] = clock.System().Monotonic()
-}
-
 func (r *Relay) dropPeer(addr string, p *peer) {
 	p.conn.Close()
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.conns[addr] == p {
 		delete(r.conns, addr)
-	}
-	if r.lastPeer == addr {
-		r.lastPeer = ""
+		r.ranking.closed(addr)
 	}
 }
