A read that the store does not answer goes through peers while it waits

What callers saw: nothing yet; a change may be 3.1 s late where it has 2 s, if the direct route is silent and peers are frozen beside it.

Cause: time-outs add up. A poll was given up after twice its wait, the list after it had 0.5 s for the direct route before the first peer was asked.

Change: a read, and a lease's renewal, that has no response within 0.3 s is sent through two peers beside the direct route, and calls are switched to peers if one of them replies first. A bounded poll is given up 0.3 s after its wait.

--- a/io/mirror/mirror.go
+++ b/io/mirror/mirror.go
@@ -19,9 +19,11 @@
 const (
 	// defaultPollWait is how long a poll waits for changes if MaxDelay is not set.
 	defaultPollWait = 1500 * clock.Millisecond
-	// pollsPerDelay is how many polls fit into MaxDelay; a poll may take twice its
-	// wait.
+	// pollsPerDelay is how many polls fit into MaxDelay.
 	pollsPerDelay = 4
+	// pollGrace is how much longer than its wait a poll may take if MaxDelay is set; a
+	// slow store responds in 250 ms.
+	pollGrace = 300 * clock.Millisecond
 	// retryDelay is the wait after a failed call.
 	retryDelay = 100 * time.Millisecond
 	// expectWait is how long an idle watch may take to deliver an expected
@@ -57,9 +59,9 @@
 	// OnChange is called with changes in order, from one goroutine.
 	OnChange func([]store.Change)
 	// MaxDelay bounds how late a change may arrive while the store responds to reads,
-	// even if its watches are silent. A poll that gets no response within half of it
-	// is followed by a list, so it suits prefixes with few keys. 0 sets no bound: the
-	// poll is repeated, and only ExpectRevision causes a list.
+	// even if its watches are silent. A poll that gets no response within a quarter of
+	// it and pollGrace is followed by a list, so it suits prefixes with few keys. 0 sets
+	// no bound: the poll is repeated, and only ExpectRevision causes a list.
 	MaxDelay clock.Millis
 
 	maxDelay    atomic.Int64 // MaxDelay or what SetMaxDelay replaced it by, in milliseconds
@@ -290,7 +292,7 @@
 	wait, bounded := m.pollWait()
 	if bounded {
 		var stop context.CancelFunc
-		ctx, stop = context.WithTimeout(ctx, 2*wait.Duration())
+		ctx, stop = context.WithTimeout(ctx, (wait + pollGrace).Duration())
 		defer stop()
 	}
 	changes, rev, err := m.Store.Poll(ctx, m.Prefix, m.Rev(), wait)
--- a/io/relay/hedge.go
+++ b/io/relay/hedge.go
@@ -38,8 +38,9 @@
 }
 
 type hedgeReply struct {
-	reply link.Reply
-	err   error
+	reply  link.Reply
+	err    error
+	direct bool
 }
 
 // mayRepeat reports whether a call may be sent through several routes: it changes
@@ -98,6 +99,36 @@
 	return r.retryDirect(ctx, c)
 }
 
+// callDirectHedged makes a call directly. If no response comes in time, it is sent through
+// peers as well, and calls are switched to peers if one of them replies first.
+func (r *Relay) callDirectHedged(ctx context.Context, c link.Call) (link.Reply, error) {
+	if !mayRepeat(c.Op) || c.Op == link.OpPoll {
+		return r.callDirect(ctx, c) // the sender of a poll bounds its time
+	}
+	h := r.newHedge()
+	hedgeCtx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	h.pending++
+	go h.runDirect(hedgeCtx, c)
+	for {
+		select {
+		case got := <-h.replies:
+			h.pending--
+			if got.direct {
+				return got.reply, got.err
+			}
+			if got.err == nil {
+				r.setViaPeers(true, unavailable("no direct response to a %s call in %s", c.Op, r.routeWait(c)))
+				return got.reply, nil
+			}
+		case <-time.After(r.routeWait(c).Duration()):
+			if h.pending < maxSilent {
+				h.send(hedgeCtx, c, hedgeWidth)
+			}
+		}
+	}
+}
+
 func (r *Relay) newHedge() *hedge {
 	peers := r.rankedPeers()
 	return &hedge{relay: r, peers: peers, replies: make(chan hedgeReply, len(peers)+1)}
@@ -127,6 +158,11 @@
 // routeWait is how long a call waits for one route before it is sent through others.
 func (r *Relay) routeWait(c link.Call) clock.Millis { return r.extraTime(c) + hedgeDelay }
 
+func (h *hedge) runDirect(ctx context.Context, c link.Call) {
+	reply, err := h.relay.callDirect(ctx, c)
+	h.replies <- hedgeReply{reply: reply, err: err, direct: true}
+}
+
 func (h *hedge) run(ctx context.Context, c link.Call, addr string) {
 	reply, err := h.relay.callPeer(ctx, c, addr)
 	h.replies <- hedgeReply{reply: reply, err: err}
--- a/io/relay/relay.go
+++ b/io/relay/relay.go
@@ -201,7 +201,7 @@
 func (r *Relay) route(ctx context.Context, c link.Call) (link.Reply, error) {
 	if !r.usingPeers() {
 		began := clock.System().Monotonic()
-		reply, err := r.callDirect(ctx, c)
+		reply, err := r.callDirectHedged(ctx, c)
 		if err == nil || !fault.Is(err, fault.StoreUnavailable) || ctx.Err() == context.Canceled {
 			return reply, err
 		}
