A front that is turned away refuses its peers' calls without asking the store

What operators saw: in an outage each front asked its peers, and each of these asked the store, so calls to the store grew with the square of the fronts; all calls are priced and count against the rate.

Cause: a peer's call went to the direct store even while the relay knew that it does not serve this host.

The peer that asked goes on to the next one.

--- a/cmd/gypsumcrank/front.go
+++ b/cmd/gypsumcrank/front.go
@@ -69,7 +69,7 @@
 	d.steer = &steer.Coordinator{
 		Node: settings.Node, Addr: settings.Link, Announce: d.announced, Store: d.store, Mirror: d.jobMirror, Index: d.index, Config: d.config, Closed: d.closed, Plan: d.planSettings(settings), LeaseMin: settings.LeaseMin, Log: log,
 		ServePeer: func(c *link.Conn, first link.Frame) {
-			relay.Serve(c, direct, d.jobMirror.ExpectRevision, d.takeForecast, first)
+			relay.Serve(c, d.relay.CallForPeer, d.jobMirror.ExpectRevision, d.takeForecast, first)
 		},
 		OnJobEnd:   d.notifyFronts,
 		OnForecast: d.publishForecast,
--- a/io/relay/peer.go
+++ b/io/relay/peer.go
@@ -9,7 +9,6 @@
 	"gypsumcrank/core/clock"
 	"gypsumcrank/core/fault"
 	"gypsumcrank/io/link"
-	"gypsumcrank/io/store"
 )
 
 // peer is a connection to another process on which calls wait for their replies.
@@ -66,13 +65,26 @@
 	return link.Reply{}, fault.New(fault.StoreUnavailable, "retry", "the peer did not reply to a %s call", c.Op).WithOutcome(fault.Unknown)
 }
 
-// Serve carries out the calls of one connection at a direct store, replies to
-// them, and passes its revision notifications to notify and its forecasts to
-// forecast, beginning with the first frame, until the connection ends.
-func Serve(c *link.Conn, direct store.TxnStore, notify func(rev int64), forecast func(*admit.Forecast), first link.Frame) {
+// Caller carries out one call at the store.
+type Caller func(ctx context.Context, c link.Call) (link.Reply, error)
+
+// CallForPeer carries out a call of another process. While the store does not serve this
+// host directly, it is refused without asking the store, so that fronts that are turned
+// away don't multiply each other's calls.
+func (r *Relay) CallForPeer(ctx context.Context, c link.Call) (link.Reply, error) {
+	if r.usingPeers() {
+		return link.Reply{}, unavailable("the store does not serve this host either")
+	}
+	return Dispatch(ctx, r.Direct, c)
+}
+
+// Serve carries out the calls of one connection, replies to them, and passes its revision
+// notifications to notify and its forecasts to forecast, beginning with the first frame,
+// until the connection ends.
+func Serve(c *link.Conn, call Caller, notify func(rev int64), forecast func(*admit.Forecast), first link.Frame) {
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
-	s := &server{conn: c, direct: direct}
+	s := &server{conn: c, call: call}
 	for f, err := first, error(nil); err == nil; f, err = c.Receive(idleTimeout) {
 		if f.Call != nil {
 			go s.run(ctx, *f.Call)
@@ -88,12 +100,12 @@
 
 // server carries out calls for a peer.
 type server struct {
-	conn   *link.Conn
-	direct store.TxnStore
+	conn *link.Conn
+	call Caller
 }
 
 func (s *server) run(ctx context.Context, c link.Call) {
-	reply, err := Dispatch(ctx, s.direct, c)
+	reply, err := s.call(ctx, c)
 	reply.ID = c.ID
 	if err != nil {
 		reply.Err = fault.Of(err)
--- a/io/relay/relay_test.go
+++ b/io/relay/relay_test.go
@@ -5,8 +5,10 @@
 	"fmt"
 	"log/slog"
 	"net"
+	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -34,6 +36,11 @@
 // servePeer runs a peer that carries out calls at the store k, and returns its
 // address.
 func servePeer(t *testing.T, k store.TxnStore) string {
+	return serveCalls(t, func(ctx context.Context, c link.Call) (link.Reply, error) { return relay.Dispatch(ctx, k, c) })
+}
+
+// serveCalls runs a peer that carries out calls with call, and returns its address.
+func serveCalls(t *testing.T, call relay.Caller) string {
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	qt.Assert(t, err, qt.IsNil)
 	t.Cleanup(func() { _ = ln.Close() })
@@ -47,7 +54,7 @@
 			go func() {
 				f, err := c.Receive(clock.Second)
 				if err == nil {
-					relay.Serve(c, k, func(int64) {}, func(*admit.Forecast) {}, f)
+					relay.Serve(c, call, func(int64) {}, func(*admit.Forecast) {}, f)
 				}
 				c.Close()
 			}()
@@ -288,6 +295,32 @@
 	}
 }
 
+// Guards against fronts that multiply each other's calls in an outage: each asks others, and
+// these asked the store for it although they knew that it serves none of them.
+func TestTurnedAwayFrontDoesNotAskTheStoreForPeers(t *testing.T) {
+	c := qt.New(t)
+	busy := plat.NewStore()
+	busy.SetFault(plat.Busy)
+	var calls atomic.Int64
+	srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if strings.HasPrefix(r.URL.Query().Get("prefix"), "op/") {
+			calls.Add(1)
+		}
+		busy.ServeHTTP(w, r)
+	}))
+	t.Cleanup(srv.CloseClientConnections)
+	other := newRelay(t, platform.NewKV(strings.TrimPrefix(srv.URL, "http://")))
+	_, _, err := other.Get(context.Background(), "a/x") // finds out that the store refuses its host
+	c.Assert(err, qt.IsNotNil)
+	r := newRelay(t, newStoreClient(t, busy), serveCalls(t, other.CallForPeer))
+	for range 10 {
+		_, _, err := r.List(context.Background(), "op/")
+		c.Check(fault.Is(err, fault.StoreUnavailable), qt.IsTrue)
+		c.Check(fault.Of(err).Outcome, qt.Equals, fault.NotRun)
+	}
+	c.Check(calls.Load(), qt.Equals, int64(0))
+}
+
 // Guards against a peer that is asked last for ever because it once did not reply.
 func TestPeersThatWereFrozenOnceAreAskedAgain(t *testing.T) {
 	f := newTurnedAway(t, 2)
