The age of the operator's keys counts the time in which the host was suspended

What callers saw: nothing shown; a front that wakes after seconds takes its copy of the configuration for young until the first response, and may refuse a queue, serve a revoked key, or start work in a data centre that was closed meanwhile.

Cause: the age was the difference of two readings of the monotonic clock, which stands still while a host is suspended. The planner's lease is counted on the clock that goes on; the copies of the operator's keys were not.

Change: the mirror keeps both readings of its last confirmation; the planner takes a confirmation that turns out to be earlier than it seemed.

--- a/core/plan/centre.go
+++ b/core/plan/centre.go
@@ -97,7 +97,7 @@
 		return
 	}
 	heldBefore := p.startsHeld()
-	c.closed, c.confirmedAt = m.Closed, max(c.confirmedAt, m.Confirmed)
+	c.closed, c.confirmedAt = m.Closed, m.Confirmed
 	p.updateWatched()
 	if p.startsHeld() {
 		return
--- a/core/plan/centre_test.go
+++ b/core/plan/centre_test.go
@@ -189,6 +189,24 @@
 	c.Check(f.events["starts_released"], qt.Equals, 1)
 }
 
+// Guards against starts in a data centre that was closed while the planner's host was
+// suspended: the time of the last confirmation is then earlier than it seemed before.
+func TestNothingStartsAfterASuspensionUntilClosingsAreConfirmed(t *testing.T) {
+	f := newCentreFleet(t, 4)
+	slept := clock.Millis(0)
+	f.closed.ConfirmedAt = func() clock.Millis { return f.now - slept }
+	f.run(500)
+	slept = 5 * clock.Second
+	f.run(100)
+	f.submit(batchJob("grain", 40))
+	f.run(500)
+	c := qt.New(t)
+	c.Check([]int{f.runningIn("north"), f.runningIn("south")}, qt.DeepEquals, []int{0, 0})
+	slept = 0
+	f.run(500)
+	c.Check(f.runningIn("north")+f.runningIn("south") > 0, qt.IsTrue)
+}
+
 // A worker whose side does not report a data centre gets nothing while any is
 // closed, until its side does.
 func TestWorkerOfUnknownDataCentreCountsAsClosed(t *testing.T) {
--- a/io/mirror/mirror.go
+++ b/io/mirror/mirror.go
@@ -70,7 +70,7 @@
 	rev         int64
 	advanced    chan struct{}
 	lastContact clock.Millis // when the store last responded
-	confirmedAt clock.Millis // when the latest call that succeeded was sent
+	confirmed   moment       // when the latest call that succeeded was sent
 	unavailable bool
 	expectedRev int64              // highest revision that is known to be written
 	relistedAt  clock.Millis       // when a silent watch last caused a list
@@ -129,15 +129,15 @@
 func (m *Mirror) Freshness() (age, maxDelay clock.Millis) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return m.Clock.Monotonic() - m.confirmedAt, clock.Millis(m.maxDelay.Load())
+	return m.Clock.Monotonic() - m.confirmed.ago(m.Clock), clock.Millis(m.maxDelay.Load())
 }
 
 // ConfirmedAt returns the monotonic time up to which the copy holds all changes; 0
-// before the first list.
+// before the first list. It is earlier by the time in which the host was suspended since.
 func (m *Mirror) ConfirmedAt() clock.Millis {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return m.confirmedAt
+	return m.confirmed.ago(m.Clock)
 }
 
 // ExpectRevision says that the store has reached a revision. If the watch does
@@ -243,7 +243,7 @@
 
 // list reads all keys and applies what differs from the copy.
 func (m *Mirror) list(ctx context.Context) error {
-	sent := m.Clock.Monotonic()
+	sent := momentOf(m.Clock)
 	kvs, rev, err := m.Store.List(ctx, m.Prefix)
 	if err != nil {
 		return err
@@ -288,7 +288,7 @@
 		time.AfterFunc(expectWait.Duration(), m.relistIfBehind)
 	}
 	m.mu.Unlock()
-	sent := m.Clock.Monotonic()
+	sent := momentOf(m.Clock)
 	wait, bounded := m.pollWait()
 	if bounded {
 		var stop context.CancelFunc
@@ -310,7 +310,7 @@
 // apply drops changes that are already known, passes the rest to OnChange, and
 // then announces the revision. The call that returned them was sent at the given
 // time.
-func (m *Mirror) apply(changes []store.Change, rev int64, from source, sent clock.Millis) {
+func (m *Mirror) apply(changes []store.Change, rev int64, from source, sent moment) {
 	var fresh []store.Change
 	m.mu.Lock()
 	for _, c := range changes {
@@ -335,7 +335,10 @@
 	if quiet := now - m.lastContact; m.lastContact > 0 && quiet > wait+lateMargin && len(fresh) > 0 {
 		m.Log.Warn("mirror_late", "prefix", m.Prefix, "quiet_for", quiet, "changes", len(fresh), "from", from, "revision", rev)
 	}
-	m.lastContact, m.confirmedAt = now, max(m.confirmedAt, sent)
+	m.lastContact = now
+	if sent.monotonic > m.confirmed.monotonic {
+		m.confirmed = sent
+	}
 	if rev > m.rev {
 		m.rev = rev
 		close(m.advanced)
