A caller is judged by the age of the version that decided

What callers saw: nothing shown; a queue that the newest version holds may be a 404 if that version is applied while the front decides by the one before.

Cause: the decision was made first, and then the age was read, which by then may be that of the next version.

Change: the age is read first; the configuration that is read after it is at least as new.

--- a/core/route/route.go
+++ b/core/route/route.go
@@ -136,30 +136,30 @@
 // queue or key is a store_out error while the configuration may be out of date:
 // a newer version may hold it.
 func (cur *Current) Admit(host, path, key string) (Admission, error) {
+	age, limit := cur.freshness() // before Get, so that the age is not that of a newer version
 	a, err := cur.Get().Admit(host, path, key)
-	a.Age = cur.Age()
+	a.Age = age
 	if err == nil || fault.Is(err, fault.StoreUnavailable) {
 		return a, err
 	}
-	why := cur.doubt()
+	why := ""
+	if limit > 0 && age > limit {
+		why = fmt.Sprintf("the configuration was last confirmed %s ago", age)
+	} else if cur.unreadable.Load() {
+		why = "the newest configuration could not be read"
+	}
 	if why == "" {
 		return a, err
 	}
 	return a, fault.New(fault.StoreUnavailable, "retry after the given time", "%s, but %s", fault.Of(err).Detail, why).WithOutcome(fault.NotRun).WithRetry(staleRetry)
 }
 
-// doubt returns why a newer version may be in force, or "".
-func (cur *Current) doubt() string {
-	if cur.unreadable.Load() {
-		return "the newest configuration could not be read"
-	}
+// freshness returns what Freshness does, or zeros if that is not set.
+func (cur *Current) freshness() (age, limit clock.Millis) {
 	if cur.Freshness == nil {
-		return ""
+		return 0, 0
 	}
-	if age, limit := cur.Freshness(); limit > 0 && age > limit {
-		return fmt.Sprintf("the configuration was last confirmed %s ago", age)
-	}
-	return ""
+	return cur.Freshness()
 }
 
 // MarkUnreadable says that a newer version could not be read. Until one is applied,
@@ -169,19 +169,14 @@
 // Age returns for how long the configuration may have been out of date; 0 if
 // Freshness is not set.
 func (cur *Current) Age() clock.Millis {
-	if cur.Freshness == nil {
-		return 0
-	}
-	age, _ := cur.Freshness()
+	age, _ := cur.freshness()
 	return age
 }
 
-// MaxAge returns for how long the configuration may be out of date; 0 sets no limit.
+// MaxAge returns for how long the configuration may be out of date while it decides about
+// callers; 0 sets no limit.
 func (cur *Current) MaxAge() clock.Millis {
-	if cur.Freshness == nil {
-		return 0
-	}
-	_, limit := cur.Freshness()
+	_, limit := cur.freshness()
 	return limit
 }
 
