Callers are not admitted by a configuration that is out of date

Whose queue or key was dropped meanwhile was served as before.

Cause: the age of the copy was asked for refusals only.

Change: Current.Admit is the one owner, for both. Beyond the time that a change has, callers get a 503 with outcome not_run and a Retry-After, and the front is not ready, so that new connections go to others. While the store is known to be disturbed (it refuses calls, or a peer can't reach it either) callers that the configuration knows are admitted for max_skew_ms longer, as the rule allows; a missing response alone does not count, as its reason may be this host.

TestCallerIsNotAdmittedByStaleConfiguration failed before. The test beside it asked that the old version admits its callers at any age; that was the fault, and the new test asks for the opposite at each of those ages.

--- a/cmd/gypsumcrank/front.go
+++ b/cmd/gypsumcrank/front.go
@@ -46,6 +46,7 @@
 	steer        *steer.Coordinator
 	ingress      *platform.Ingress
 	seeds        atomic.Pointer[[]string] // addresses of possible other fronts, from the settings
+	stretch      atomic.Int64             // ConfigStretch of the settings
 	desk         admit.Desk               // decides with the planner's forecast
 	leaving      atomic.Bool
 	metricsAddr  string // address where metrics are served; none if empty
@@ -60,12 +61,14 @@
 		d.announced = settings.Link
 	}
 	d.seeds.Store(&settings.Peers)
+	d.stretch.Store(int64(settings.ConfigStretch))
 	d.index = &front.Index{Log: log}
 	d.relay = &relay.Relay{Direct: direct, Peers: d.peers, Bulk: store.Root, Log: log}
 	d.store = d.relay
 	d.jobMirror = &mirror.Mirror{Prefix: store.Root, Store: d.store, Log: log, OnChange: d.index.Apply}
 	d.configMirror = &mirror.Mirror{Prefix: platform.ConfigRoot, Store: d.store, Log: log, OnChange: d.applyOperatorChanges, MaxDelay: settings.OperatorDelay()}
 	d.config.Freshness, d.closed.ConfirmedAt = d.configMirror.Freshness, d.configMirror.ConfirmedAt
+	d.config.Stretch = d.configStretch
 	d.steer = &steer.Coordinator{
 		Node: settings.Node, Addr: settings.Link, Announce: d.announced, Store: d.store, Mirror: d.jobMirror, Index: d.index, Config: d.config, Closed: d.closed, Plan: d.planSettings(settings), LeaseMin: settings.LeaseMin, Log: log,
 		ServePeer: func(c *link.Conn, first link.Frame) {
@@ -121,6 +124,15 @@
 	return d.desk.Decide(j, epoch, clock.System().Monotonic())
 }
 
+// configStretch returns for how much longer than usual callers are admitted by a
+// configuration that can't be confirmed.
+func (d *frontDaemon) configStretch() clock.Millis {
+	if !d.relay.Refused() {
+		return 0
+	}
+	return clock.Millis(d.stretch.Load())
+}
+
 // peers returns the addresses of the other fronts.
 func (d *frontDaemon) peers() []string {
 	var out []string
@@ -167,6 +179,7 @@
 	go d.runRegistration(serving)
 	settingsReloader := &reloader{lastRead: d.settings, log: d.log, apply: func(settings platform.Settings) {
 		d.seeds.Store(&settings.Peers)
+		d.stretch.Store(int64(settings.ConfigStretch))
 		d.steer.SetPlanSettings(d.planSettings(settings))
 		d.configMirror.SetMaxDelay(settings.OperatorDelay())
 	}}
@@ -288,7 +301,7 @@
 func (d *frontDaemon) ready(_ context.Context, r *httpd.Request) {
 	now := clock.System().Monotonic()
 	lastContact := d.jobMirror.LastContact()
-	if d.leaving.Load() || d.config.Get() == nil || lastContact == 0 || now-lastContact > readyMaxStaleness {
+	if d.leaving.Load() || !d.config.Fresh() || lastContact == 0 || now-lastContact > readyMaxStaleness {
 		r.Text(503, "not ready")
 		return
 	}
--- a/core/route/route.go
+++ b/core/route/route.go
@@ -120,9 +120,12 @@
 // goes back to an older version. Set the exported field before use.
 type Current struct {
 	// Freshness, if set, returns for how long the configuration may have been out of
-	// date, and for how long it may be while callers are told that a queue or a key
-	// does not exist; no limit if that is 0.
+	// date, and for how long it may be while it decides about callers; no limit if that
+	// is 0.
 	Freshness func() (age, limit clock.Millis)
+	// Stretch, if set, returns for how much longer than that callers are admitted by it
+	// now.
+	Stretch func() clock.Millis
 
 	config     atomic.Pointer[Config]
 	unreadable atomic.Bool // the newest version could not be read
@@ -132,26 +135,32 @@
 // unknown age.
 const staleRetry = clock.Second
 
-// Admit decides as Config.Admit does, with the newest configuration. An unknown
-// queue or key is a store_out error while the configuration may be out of date:
-// a newer version may hold it.
+// Admit decides as Config.Admit does, with the newest configuration. While that may be out
+// of date, the decision is a store_out error: a newer version may hold an unknown queue or
+// key, and may have dropped a known one.
 func (cur *Current) Admit(host, path, key string) (Admission, error) {
 	age, limit := cur.freshness() // before Get, so that the age is not that of a newer version
 	a, err := cur.Get().Admit(host, path, key)
 	a.Age = age
-	if err == nil || fault.Is(err, fault.StoreUnavailable) {
+	decided := "the queue and the key are known"
+	switch {
+	case fault.Is(err, fault.StoreUnavailable):
 		return a, err
+	case err != nil:
+		decided = fault.Of(err).Detail
+	case cur.Stretch != nil && limit > 0:
+		limit += cur.Stretch()
 	}
 	why := ""
 	if limit > 0 && age > limit {
 		why = fmt.Sprintf("the configuration was last confirmed %s ago", age)
-	} else if cur.unreadable.Load() {
+	} else if err != nil && cur.unreadable.Load() {
 		why = "the newest configuration could not be read"
 	}
 	if why == "" {
 		return a, err
 	}
-	return a, fault.New(fault.StoreUnavailable, "retry after the given time", "%s, but %s", fault.Of(err).Detail, why).WithOutcome(fault.NotRun).WithRetry(staleRetry)
+	return a, fault.New(fault.StoreUnavailable, "retry after the given time, at another front", "%s, but %s", decided, why).WithOutcome(fault.NotRun).WithRetry(staleRetry)
 }
 
 // freshness returns what Freshness does, or zeros if that is not set.
@@ -180,6 +189,12 @@
 	return limit
 }
 
+// Fresh reports whether the configuration is known and in its time.
+func (cur *Current) Fresh() bool {
+	age, limit := cur.freshness()
+	return cur.Get() != nil && (limit == 0 || age <= limit)
+}
+
 // Apply replaces the configuration by c if c is newer, and reports whether it
 // did.
 func (cur *Current) Apply(c *Config) bool {
--- a/core/route/route_test.go
+++ b/core/route/route_test.go
@@ -66,9 +66,6 @@
 			c.Check(fault.Of(err).Outcome, qt.Equals, fault.NotRun)
 			c.Check(fault.Of(err).RetryAfter > 0, qt.Equals, !fresh)
 		}
-		a, err := cur.Admit("a.example", "/p/5c0e", "k1")
-		c.Check(err, qt.IsNil)
-		c.Check(a.Account, qt.Equals, "acme")
 	}
 }
 
@@ -88,18 +85,40 @@
 // whose configuration is out of date: one was admitted at an age of 18 s.
 func TestCallerIsNotAdmittedByStaleConfiguration(t *testing.T) {
 	c := qt.New(t)
-	var age clock.Millis
-	cur := &Current{Freshness: func() (clock.Millis, clock.Millis) { return age, 2 * clock.Second }}
+	var age, stretch clock.Millis
+	cur := &Current{
+		Freshness: func() (clock.Millis, clock.Millis) { return age, 2 * clock.Second },
+		Stretch:   func() clock.Millis { return stretch },
+	}
 	cur.Apply(config(1))
-	for _, age = range []clock.Millis{0, 2 * clock.Second, 2*clock.Second + 1, 20 * clock.Second} {
-		_, err := cur.Admit("a.example", "/p/5c0e", "k1")
-		if age <= 2*clock.Second {
-			c.Check(err, qt.IsNil)
-			continue
+	for _, stretch = range []clock.Millis{0, 5 * clock.Second} {
+		limit := 2*clock.Second + stretch
+		for _, age = range []clock.Millis{0, limit, limit + 1, 20 * clock.Second} {
+			a, err := cur.Admit("a.example", "/p/5c0e", "k1")
+			c.Check(a.Age, qt.Equals, age)
+			if age <= limit {
+				c.Check(err, qt.IsNil)
+				c.Check(a.Account, qt.Equals, "acme")
+				continue
+			}
+			c.Assert(fault.Is(err, fault.StoreUnavailable), qt.IsTrue, qt.Commentf("age %s", age))
+			c.Check(fault.Of(err).Outcome, qt.Equals, fault.NotRun)
+			c.Check(fault.Of(err).RetryAfter > 0, qt.IsTrue)
 		}
-		c.Assert(fault.Is(err, fault.StoreUnavailable), qt.IsTrue, qt.Commentf("age %s", age))
-		c.Check(fault.Of(err).Outcome, qt.Equals, fault.NotRun)
-		c.Check(fault.Of(err).RetryAfter > 0, qt.IsTrue)
+	}
+}
+
+// A stretch is for callers that the configuration knows: a wrong refusal is final for the
+// caller.
+func TestStretchDoesNotAllowStaleRefusals(t *testing.T) {
+	cur := &Current{
+		Freshness: func() (clock.Millis, clock.Millis) { return 2500, 2 * clock.Second },
+		Stretch:   func() clock.Millis { return 5 * clock.Second },
+	}
+	cur.Apply(config(1))
+	for key, path := range map[string]string{"k1": "/new/5c0e", "new": "/p/5c0e"} {
+		_, err := cur.Admit("a.example", path, key)
+		qt.Check(t, fault.Is(err, fault.StoreUnavailable), qt.IsTrue)
 	}
 }
 
--- a/io/relay/hedge.go
+++ b/io/relay/hedge.go
@@ -148,9 +148,13 @@
 // retryDirect makes a call directly after the peers failed. If that works, the direct
 // route is used again from now on.
 func (r *Relay) retryDirect(ctx context.Context, c link.Call) (link.Reply, error) {
+	began := clock.System().Monotonic()
 	reply, err := r.callDirect(ctx, c)
-	if err == nil {
+	switch {
+	case err == nil:
 		r.setViaPeers(false, nil)
+	case ctx.Err() == nil && fault.Is(err, fault.StoreUnavailable) && clock.System().Monotonic()-began < hedgeDelay:
+		r.recordRefusal()
 	}
 	return reply, err
 }
@@ -184,6 +188,7 @@
 		err = reply.Err
 		if fault.Is(err, fault.StoreUnavailable) {
 			r.recordPeer(addr, refused)
+			r.recordRefusal()
 		}
 	} else if err == nil {
 		r.recordPeer(addr, served)
--- a/io/relay/relay.go
+++ b/io/relay/relay.go
@@ -56,6 +56,7 @@
 	lastSuccess  clock.Millis  // when the store last responded to a call, on the monotonic clock
 	recovered    chan struct{} // closed when a call succeeds again; nil unless the last one failed
 	ranking      ranking
+	refusedAt    clock.Millis // when the store, or a peer for it, last refused a call
 	conns        map[string]*peer
 	failures     failureLog
 	cancel       context.CancelFunc
@@ -175,6 +176,24 @@
 	}
 }
 
+// refusedRecently is how long a refusal shows that the store is disturbed.
+const refusedRecently = 2 * clock.Second
+
+// Refused reports whether the store recently refused a call of this host, or a peer replied
+// that it can't reach the store either. A call that only got no response does not count: the
+// reason may be this host's own processor or link.
+func (r *Relay) Refused() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.refusedAt > 0 && clock.System().Monotonic()-r.refusedAt < refusedRecently
+}
+
+func (r *Relay) recordRefusal() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.refusedAt = clock.System().Monotonic()
+}
+
 func (r *Relay) usingPeers() bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -205,7 +224,11 @@
 		if err == nil || !fault.Is(err, fault.StoreUnavailable) || ctx.Err() == context.Canceled {
 			return reply, err
 		}
-		r.failures.write(r.Log, directRoute, c, clock.System().Monotonic()-began, err)
+		took := clock.System().Monotonic() - began
+		if took < hedgeDelay {
+			r.recordRefusal() // it has not timed out, so the store or its host has refused it
+		}
+		r.failures.write(r.Log, directRoute, c, took, err)
 		if ctx.Err() != nil {
 			return reply, err
 		}
--- a/io/relay/relay_test.go
+++ b/io/relay/relay_test.go
@@ -175,6 +175,32 @@
 	c.Check(<-waiting, qt.IsTrue)
 }
 
+// Only a refusal by the store, or a peer that can't reach it either, shows that the store is
+// disturbed: a missing response may be the fault of this host.
+func TestADisturbedStoreIsToldFromMissingResponses(t *testing.T) {
+	for _, test := range []struct {
+		direct, peer plat.Fault
+		link         plat.ProxyFault
+		refused      bool
+	}{
+		{plat.None, plat.None, plat.Pass, false},
+		{plat.Busy, plat.None, plat.Pass, true},
+		{plat.Silent, plat.None, plat.Pass, false},
+		{plat.Silent, plat.Busy, plat.Pass, true},
+		{plat.Silent, plat.Silent, plat.Pass, true},
+		{plat.Silent, plat.Busy, plat.Silence, false},
+	} {
+		direct, other := plat.NewStore(), plat.NewStore()
+		direct.SetFault(test.direct)
+		other.SetFault(test.peer)
+		p := newProxy(t, servePeer(t, newStoreClient(t, other)))
+		p.Set(test.link)
+		r := newRelay(t, newStoreClient(t, direct), p.Addr())
+		_, _, _ = r.List(context.Background(), "op/")
+		qt.Check(t, r.Refused(), qt.Equals, test.refused, qt.Commentf("%+v", test))
+	}
+}
+
 // A store that has gone silent is found out by a read, before a write is sent. In
 // trouble-2 of bazaarlink (silent for 2.9 s) ten writes were left in doubt: each front
 // learned of the silence only from its own first write.
