The planner reads the newest configuration with each message

Cause: it was sent to the loop like any other message, and waited behind up to 4096 of them. While the inbox was full, the mirror of the configuration waited too, and the front's own callers were served by the version before.

Change: a term reads the configuration before each message, as it does with the closed data centres; nothing is sent, so nothing waits. Without messages a tick comes every 0.1 s. TestPlannerObeysTheNewestConfigurationWithEachMessage failed before.

--- a/cmd/gypsumcrank/front.go
+++ b/cmd/gypsumcrank/front.go
@@ -286,7 +286,6 @@
 		age := d.config.Age()
 		if d.config.Apply(c) {
 			d.log.Info("config_applied", "version", c.Version, "revision", ch.Rev, "config_age", age, "queues", len(c.Queues), "accounts", len(c.Accounts))
-			d.steer.Reconfigure(c)
 		}
 	}
 }
--- a/io/steer/steer.go
+++ b/io/steer/steer.go
@@ -115,13 +115,6 @@
 	return nil
 }
 
-// Reconfigure passes a newer configuration to the current term, if there is one.
-func (s *Coordinator) Reconfigure(c *route.Config) {
-	if t := s.currentTerm(); t != nil {
-		t.loop.Send(plan.ConfigMsg{Config: c})
-	}
-}
-
 // SetPlanSettings sets the planner's settings from the next term on.
 func (s *Coordinator) SetPlanSettings(settings plan.Settings) {
 	s.mu.Lock()
--- a/io/steer/term.go
+++ b/io/steer/term.go
@@ -12,6 +12,7 @@
 	"gypsumcrank/core/fault"
 	"gypsumcrank/core/kern"
 	"gypsumcrank/core/plan"
+	"gypsumcrank/core/route"
 	"gypsumcrank/core/task"
 	"gypsumcrank/io/link"
 	"gypsumcrank/io/meter"
@@ -32,7 +33,8 @@
 	ended           chan string           // receives the reason why the term ends
 	closing         atomic.Bool           // the loop is about to stop and takes no more messages
 	leaseInDoubt    bool
-	gaugesAt        clock.Millis // when the gauges were last updated
+	gaugesAt        clock.Millis  // when the gauges were last updated
+	config          *route.Config // that the planner has
 	closed          plan.ClosedMsg
 	forecastAt      clock.Millis // when the forecast was last published
 }
@@ -64,11 +66,6 @@
 	t.loop = &kern.Loop{Model: t}
 	t.loop.Start()
 	s.setTerm(t)
-	// Read after setTerm, so that a newer version is either read here or passed on by
-	// Reconfigure.
-	if c := s.Config.Get(); c != nil {
-		t.loop.Send(plan.ConfigMsg{Config: c})
-	}
 	t.loop.Send(s.storedSpeeds())
 	unlisten := s.Index.Listen(t.send)
 	renewing, stop := context.WithCancel(ctx)
@@ -189,10 +186,21 @@
 		t.updateGauges(now.Monotonic)
 		t.publishForecast(now.Monotonic)
 	}
-	cmds := t.updateClosed(now)
+	cmds := append(t.updateConfig(now), t.updateClosed(now)...)
 	return append(cmds, t.apply(t.planner.Update(now, msg))...)
 }
 
+// updateConfig passes on the newest configuration if the planner does not have it. It is
+// read here and not sent to the loop, where it would wait behind all other messages.
+func (t *term) updateConfig(now plan.Instant) []kern.Cmd {
+	c := t.coord.Config.Get()
+	if c == nil || c == t.config {
+		return nil
+	}
+	t.config = c
+	return t.apply(t.planner.Update(now, plan.ConfigMsg{Config: c}))
+}
+
 // updateClosed passes on which data centres are closed if that is not up to date.
 // It is read here and not sent to the loop, so that no message that waits in the
 // loop makes it older than its time of confirmation says.
