A poll that the relay cancels does not count as refused by the store

Cause: the relay switches to peers and cancels the polls on the direct route; that error, 1 ms after the poll was sent, looked like a refusal, and a refusal allows the stretch.

Change: a refusal is recorded where the direct call is made, unless its context has ended. TestACancelledPollIsNoRefusal failed before.

--- a/io/relay/hedge.go
+++ b/io/relay/hedge.go
@@ -148,13 +148,9 @@
 // retryDirect makes a call directly after the peers failed. If that works, the direct
 // route is used again from now on.
 func (r *Relay) retryDirect(ctx context.Context, c link.Call) (link.Reply, error) {
-	began := clock.System().Monotonic()
 	reply, err := r.callDirect(ctx, c)
-	switch {
-	case err == nil:
+	if err == nil {
 		r.setViaPeers(false, nil)
-	case ctx.Err() == nil && fault.Is(err, fault.StoreUnavailable) && clock.System().Monotonic()-began < hedgeDelay:
-		r.recordRefusal()
 	}
 	return reply, err
 }
--- a/io/relay/keeper.go
+++ b/io/relay/keeper.go
@@ -61,7 +61,12 @@
 		defer cancel()
 		defer context.AfterFunc(directCtx, cancel)()
 	}
-	return Dispatch(ctx, r.Direct, c)
+	sent := clock.System().Monotonic()
+	reply, err := Dispatch(ctx, r.Direct, c)
+	if ctx.Err() == nil && fault.Is(err, fault.StoreUnavailable) && clock.System().Monotonic()-sent < hedgeDelay {
+		r.recordRefusal() // it was neither cancelled nor timed out
+	}
+	return reply, err
 }
 
 // Get reads one key.
--- a/io/relay/relay.go
+++ b/io/relay/relay.go
@@ -224,11 +224,7 @@
 		if err == nil || !fault.Is(err, fault.StoreUnavailable) || ctx.Err() == context.Canceled {
 			return reply, err
 		}
-		took := clock.System().Monotonic() - began
-		if took < hedgeDelay {
-			r.recordRefusal() // it has not timed out, so the store or its host has refused it
-		}
-		r.failures.write(r.Log, directRoute, c, took, err)
+		r.failures.write(r.Log, directRoute, c, clock.System().Monotonic()-began, err)
 		if ctx.Err() != nil {
 			return reply, err
 		}
--- a/io/relay/relay_test.go
+++ b/io/relay/relay_test.go
@@ -201,6 +201,20 @@
 	}
 }
 
+// Guards against a poll that the relay itself cancels and then takes for refused: a front
+// that woke after 3.3 s admitted a caller by its old configuration.
+func TestACancelledPollIsNoRefusal(t *testing.T) {
+	s := plat.NewStore()
+	s.SetFault(plat.Silent)
+	r := newRelay(t, newStoreClient(t, s))
+	go func() {
+		time.Sleep(400 * time.Millisecond)
+		_, _, _ = r.Poll(context.Background(), "op/", 1, 8*clock.Second)
+	}()
+	_, _, _ = r.List(context.Background(), "op/") // times out after 0.5 s and switches to peers
+	qt.Check(t, r.Refused(), qt.IsFalse)
+}
+
 // A store that has gone silent is found out by a read, before a write is sent. In
 // trouble-2 of bazaarlink (silent for 2.9 s) ten writes were left in doubt: each front
 // learned of the silence only from its own first write.
