--- a/cmd/gypsumcrank/soak_test.go
+++ b/cmd/gypsumcrank/soak_test.go
@@ -99,13 +99,16 @@
 
 const soakSecondStep = 2
 
-func runSoak(t *testing.T, seed uint64) {
-	checker := plat.NewChecker()
-	s := &soak{
-		site: &site{dir: t.TempDir(), procs: map[string]*daemon{}, executors: map[string]*plat.Executor{}, checker: checker, proxy: true, proxies: map[string]*plat.Proxy{}},
+func newSoak(t *testing.T, seed uint64) *soak {
+	return &soak{
+		site: &site{dir: t.TempDir(), procs: map[string]*daemon{}, executors: map[string]*plat.Executor{}, checker: plat.NewChecker(), proxy: true, proxies: map[string]*plat.Proxy{}},
 		t:    t, r: rand.New(rand.NewPCG(seed, 7)), accepted: map[string]bool{}, inDoubt: map[string]bool{}, cancelled: map[string]bool{},
 		refused: map[string]bool{}, faultEnds: map[string]time.Time{}, faultAt: map[string]time.Time{}, crashes: newSoakCrashes(seed), steps: map[string]soakStep{}, standing: map[string]time.Time{},
 	}
+}
+
+func runSoak(t *testing.T, seed uint64) {
+	s := newSoak(t, seed)
 	defer s.close()
 	size := os.Getenv(soakSizeVar)
 	if size == "" {
@@ -119,9 +122,11 @@
 	for name, e := range s.executors {
 		e.SetOnStart(func(running []string) { s.crashes.checkRoom(name, running) })
 	}
+	turns := rand.New(rand.NewPCG(seed, 9))
 	for end := time.Now().Add(soakDuration); time.Now().Before(end); {
 		for range 1 + len(s.procs)/processesPerStep {
 			s.step()
+			s.turnAwayStep(turns, time.Now().Add(time.Duration(1000+turns.IntN(3000))*time.Millisecond))
 		}
 		s.endFaults(time.Now())
 		s.checkConfig()
@@ -135,7 +140,8 @@
 	s.changeConfig()
 	s.checkClosing()
 	s.checkConfig()
-	s.check(checker)
+	s.checkAges()
+	s.check()
 }
 
 // step submits or cancels a job, or starts a fault.
@@ -416,7 +422,7 @@
 
 // check checks that every accepted job completes unless it was cancelled, that no
 // refused job started, and that the checker saw no violation.
-func (s *soak) check(checker *plat.Checker) {
+func (s *soak) check() {
 	s.awaitCalmRuns()
 	for id := range s.accepted {
 		if s.cancelled[id] {
@@ -434,16 +440,21 @@
 		}
 	}
 	for id := range s.refused {
-		if checker.Started(id) {
+		if s.checker.Started(id) {
 			s.t.Errorf("job %s was refused but started", id)
 		}
 	}
-	for _, violation := range append(checker.Violations(), s.crashes.violations...) {
+	for _, violation := range append(s.checker.Violations(), s.crashes.violations...) {
 		s.t.Error(violation)
 	}
 	if s.t.Failed() {
-		for name, d := range s.procs {
-			s.t.Logf("== %s\n%s", name, d.out.String())
-		}
+		s.logProcesses()
+	}
+}
+
+// logProcesses logs the output of all processes.
+func (s *soak) logProcesses() {
+	for name, d := range s.procs {
+		s.t.Logf("== %s\n%s", name, d.out.String())
 	}
 }
