State, cancellation and repeat of a job are for its client account only

What callers saw: a key of any client account could read the state of another account's job and cancel it, through any queue, by its ID, which the caller chooses; a submission with an ID in use by another account was answered as accepted.

Cause: the account of the key was used by submissions alone.

Change: route.Admission.Owns decides, in io/front, for all three calls. Somebody else's job takes the way of an unknown one, down to the store read, and gets the same 410; a submission gets 409 with outcome not_run.

--- a/cmd/gypsumcrank/field.go
+++ b/cmd/gypsumcrank/field.go
@@ -326,7 +326,14 @@
 		q := route.Queue{Name: j.Queue, Service: loadService, Priority: j.Priority, Attempts: j.Attempts, Stretch: j.Stretch, Target: j.Target}
 		go h.runCall("submit", func() error { return d.ingress.Front.Submit(ctx, q, j.Account, &j) })
 	case load.Cancel:
-		go h.runCall("cancel", func() error { return d.ingress.Front.Cancel(ctx, e.ID) })
+		h.mu.Lock()
+		j := h.jobs[e.ID]
+		h.mu.Unlock()
+		if j == nil {
+			return // it was not submitted
+		}
+		caller := route.Admission{Queue: route.Queue{Name: j.Queue}, Account: j.Account}
+		go h.runCall("cancel", func() error { return d.ingress.Front.Cancel(ctx, caller, e.ID) })
 	case load.Slow:
 		h.mu.Lock()
 		h.slowWorkers[e.Name] = e
--- a/core/route/route.go
+++ b/core/route/route.go
@@ -98,6 +98,12 @@
 	Age     clock.Millis
 }
 
+// Owns reports whether the caller may read and cancel a job of a client account and a queue:
+// its own account's jobs, through any queue, and those of a public queue through that one.
+func (a Admission) Owns(account, queue string) bool {
+	return account == a.Account && (account != "" || a.Queue.Name == queue) || a.Queue.Public && a.Queue.Name == queue
+}
+
 // Admit decides whether a caller may use the queue that a host and path belong
 // to. The error is store_out if no configuration is known yet (c is nil),
 // not_found if no queue matches, and denied if the key is unknown.
--- a/io/front/front.go
+++ b/io/front/front.go
@@ -66,7 +66,11 @@
 // Submit accepts a job of a queue. A nil error means that the job is stored. An
 // error with outcome not_run means that it is not, and never will be.
 func (f *Front) Submit(ctx context.Context, q route.Queue, account string, j *task.Job) error {
-	if _, known := f.Index.find(j.ID); known {
+	caller := route.Admission{Queue: q, Account: account}
+	if mine, known := f.Index.owned(caller, j.ID); known {
+		if !mine {
+			return f.refuseTaken(caller, j.ID)
+		}
 		f.Log.Info("job_known", "job", j.ID, "queue", q.Name)
 		return nil
 	}
@@ -101,6 +105,11 @@
 		f.Log.Warn("job_not_accepted", "job", j.ID, "queue", q.Name, "account", account, "error", err, "outcome", fault.Of(err).Outcome)
 		return err
 	}
+	if !res.Committed {
+		if err := f.checkRepeat(ctx, caller, j.ID); err != nil {
+			return err
+		}
+	}
 	f.OnWrite(res.Rev)
 	f.Log.Info("job_accepted", "job", j.ID, "queue", q.Name, "account", account, "steps", len(j.Steps), "revision", res.Rev, "first", res.Committed)
 	return nil
@@ -189,8 +198,8 @@
 }
 
 // Cancel stores the cancellation of a job.
-func (f *Front) Cancel(ctx context.Context, id string) error {
-	s, err := f.State(ctx, id)
+func (f *Front) Cancel(ctx context.Context, caller route.Admission, id string) error {
+	s, err := f.State(ctx, caller, id)
 	if err != nil {
 		return err
 	}
@@ -220,21 +229,30 @@
 // Failure returns why a job has failed, or "" if it has not or that is not known here.
 func (f *Front) Failure(id string) string { return f.Index.failure(id) }
 
-// State returns the state of a job. An unknown job is a not_found error.
-func (f *Front) State(ctx context.Context, id string) (task.State, error) {
-	if s, ok := f.Index.find(id); ok {
+// State returns the state of a job. A job that is unknown, or belongs to somebody else than
+// the caller, is a not_found error.
+func (f *Front) State(ctx context.Context, caller route.Admission, id string) (task.State, error) {
+	mine, known := f.Index.owned(caller, id)
+	if mine {
+		s, _ := f.Index.find(id)
 		if s == task.Running {
 			s = f.awaitEnd(ctx, id, s)
 		}
 		return s, nil
 	}
+	// Somebody else's job is read from the store like an unknown one, so that the two take
+	// the same way.
 	ctx, cancel := context.WithTimeout(ctx, readTimeout.Duration())
 	defer cancel()
-	_, ok, err := f.Store.Get(ctx, store.JobKey(id))
+	kv, ok, err := f.Store.Get(ctx, store.JobKey(id))
 	if err != nil {
 		f.Log.Warn("job_unread", "job", id, "error", err)
 		return "", fault.Of(err).WithOutcome(fault.NotRun).WithRetry(f.retryAfter()) // a read has no effect
 	}
+	if ok && (known || !f.stored(caller, kv)) {
+		f.logDenied(caller, "read", id)
+		ok = false
+	}
 	if !ok {
 		return "", fault.New(fault.NotFound, "check the id, and submit the job if it was never submitted", "no job %s", id)
 	}
--- a/io/front/front_test.go
+++ b/io/front/front_test.go
@@ -38,20 +38,22 @@
 }
 
 func job(id string) *task.Job {
-	return &task.Job{ID: id, Steps: []task.Step{{Count: 1, Need: task.Resources{MilliCPU: 100}}}}
+	return &task.Job{ID: id, Queue: "q", Account: "acme", Steps: []task.Step{{Count: 1, Need: task.Resources{MilliCPU: 100}}}}
 }
 
 var queue = route.Queue{Name: "q", Service: "svc", Attempts: 2}
 
+var acme = route.Admission{Queue: queue, Account: "acme"}
+
 func TestSubmitStoresJobOnce(t *testing.T) {
 	c, ctx := qt.New(t), context.Background()
 	f, _ := newFront(t)
 	c.Assert(f.Submit(ctx, queue, "acme", job("1")), qt.IsNil)
 	c.Assert(f.Submit(ctx, queue, "acme", job("1")), qt.IsNil)
-	s, err := f.State(ctx, "1") // not in the mirror yet
+	s, err := f.State(ctx, acme, "1") // not in the mirror yet
 	c.Assert(err, qt.IsNil)
 	c.Check(s, qt.Equals, task.Queued)
-	_, err = f.State(ctx, "2")
+	_, err = f.State(ctx, acme, "2")
 	c.Check(fault.Is(err, fault.NotFound), qt.IsTrue)
 }
 
@@ -178,13 +180,13 @@
 		f.Index.Apply([]store.Change{change(store.JobKey(id), raw)})
 		f.Index.Apply(progress(c, id, task.Running))
 	}
-	s, err := f.State(ctx, "1")
+	s, err := f.State(ctx, acme, "1")
 	c.Assert(err, qt.IsNil)
 	c.Check(s, qt.Equals, task.Running)
 
 	got := make(chan task.State, 1)
 	go func() {
-		s, err := f.State(ctx, "2")
+		s, err := f.State(ctx, acme, "2")
 		c.Check(err, qt.IsNil)
 		got <- s
 	}()
--- a/io/front/index.go
+++ b/io/front/index.go
@@ -5,6 +5,7 @@
 	"sync"
 
 	"gypsumcrank/core/plan"
+	"gypsumcrank/core/route"
 	"gypsumcrank/core/task"
 	"gypsumcrank/io/store"
 )
@@ -199,6 +200,17 @@
 	return e.state(), true
 }
 
+// owned reports whether a job is in the index, and whether it belongs to a caller.
+func (x *Index) owned(a route.Admission, id string) (mine, known bool) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	e := x.jobs[id]
+	if e == nil || e.job == nil {
+		return false, false
+	}
+	return a.Owns(e.job.Account, e.job.Queue), true
+}
+
 // failure returns why a job has failed, or "" if it has not.
 func (x *Index) failure(id string) string {
 	x.mu.Lock()
