Sides stop looking for another planner when the lease is certain again

What operators saw: after each doubt about the planner's lease (a store that is away for a second) every side opened three connections to fronts every 0.3 s until its connection to the planner ended, and once more for each further doubt.

Cause: each LeaseInDoubt frame started a goroutine that ended with the connection; nothing told the side that the doubt was over.

Change: one search at a time, which the new optional field LeaseCertain ends; an older planner does not send it, an older side ignores it. The end of a doubt is no longer logged as a warning.

--- a/io/link/link.go
+++ b/io/link/link.go
@@ -62,6 +62,8 @@
 	WrittenRev int64 `cbor:"10,keyasint,omitempty"`
 	// Forecast is what the planner tells the fronts about the work that waits.
 	Forecast *admit.Forecast `cbor:"12,keyasint,omitempty"`
+	// LeaseCertain says that the planner's lease is no longer in doubt.
+	LeaseCertain bool `cbor:"13,keyasint,omitempty"`
 }
 
 // Conn sends and receives frames. Send never blocks.
--- a/io/side/find.go
+++ b/io/side/find.go
@@ -199,6 +199,8 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	go s.runKeepalive(ctx, c)
+	check := &plannerCheck{side: s, conn: c}
+	defer check.end()
 	for ctx.Err() == nil {
 		f, err := c.Receive(plannerTimeout)
 		if err != nil {
@@ -209,7 +211,10 @@
 			return true
 		}
 		if f.LeaseInDoubt {
-			go s.runPlannerCheck(ctx, c)
+			check.begin(ctx)
+		}
+		if f.LeaseCertain {
+			check.end()
 		}
 		if f.Grant != nil {
 			s.applyGrant(*f.Grant)
@@ -275,14 +280,37 @@
 	}
 }
 
-// runPlannerCheck looks for a newer planner after the current one has said that
-// its lease is in doubt. It ends with the connection, which it closes if it finds
-// one.
-func (s *Side) runPlannerCheck(ctx context.Context, c *link.Conn) {
+// plannerCheck looks for a newer planner while the lease of the one behind a connection is
+// in doubt.
+type plannerCheck struct {
+	side   *Side
+	conn   *link.Conn
+	cancel context.CancelFunc // nil unless it looks
+}
+
+// begin starts to look, if it doesn't yet.
+func (p *plannerCheck) begin(ctx context.Context) {
+	if p.cancel == nil {
+		ctx, p.cancel = context.WithCancel(ctx)
+		go p.run(ctx)
+	}
+}
+
+// end stops looking.
+func (p *plannerCheck) end() {
+	if p.cancel != nil {
+		p.cancel()
+		p.cancel = nil
+	}
+}
+
+// run queries fronts until ctx ends, and closes the connection if it finds a newer planner.
+func (p *plannerCheck) run(ctx context.Context) {
+	s := p.side
 	for ctx.Err() == nil {
 		if best := s.queryFronts(s.sampleFronts()); best.Planner && best.Epoch > s.currentEpoch() {
 			s.Log.Info("planner_newer", "epoch", best.Epoch, "addr", best.Addr)
-			c.Close()
+			p.conn.Close()
 			return
 		}
 		sleep(ctx, 2*searchDelay)
--- a/io/steer/term.go
+++ b/io/steer/term.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"log/slog"
 	"strconv"
 	"sync/atomic"
 	"time"
@@ -269,10 +270,14 @@
 	inDoubt := now >= t.leaseValidUntil
 	if inDoubt != t.leaseInDoubt {
 		t.leaseInDoubt = inDoubt
-		t.coord.Log.Warn("planner_lease_doubt", "epoch", t.epoch, "doubt", inDoubt, "valid_for", t.leaseValidUntil-now)
+		level := slog.LevelInfo
+		if inDoubt {
+			level = slog.LevelWarn
+		}
+		t.coord.Log.Log(context.Background(), level, "planner_lease_doubt", "epoch", t.epoch, "doubt", inDoubt, "valid_for", t.leaseValidUntil-now)
 		t.planner.Pause(inDoubt)
 		for _, c := range t.conns {
-			c.Send(link.Frame{LeaseInDoubt: inDoubt})
+			c.Send(link.Frame{LeaseInDoubt: inDoubt, LeaseCertain: !inDoubt})
 		}
 	}
 }
