A loop that was never started can be stopped

What operators saw: nothing; a service that fails before it starts its loop would hang the process at its stop.

Cause: Stop waited for the end of a goroutine that did not exist.

Change: it is then ended at once, and Send returns false. TestALoopThatWasNeverStartedStops failed before.

--- a/core/kern/kern_test.go
+++ b/core/kern/kern_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"log/slog"
 	"testing"
+	"time"
 
 	qt "github.com/frankban/quicktest"
 	"github.com/pkg/errors"
@@ -74,3 +75,19 @@
 	fmt.Println(m.total)
 	// Output: 6
 }
+
+// Guards against a service that fails to start and then waits for ever to stop its loop.
+func TestALoopThatWasNeverStartedStops(t *testing.T) {
+	l := &kern.Loop{Model: &counter{}}
+	stopped := make(chan bool)
+	go func() {
+		l.Stop()
+		close(stopped)
+	}()
+	select {
+	case <-stopped:
+	case <-time.After(2 * time.Second):
+		t.Fatal("Stop waits for a loop that was never started")
+	}
+	qt.Check(t, l.Send(addMsg(1)), qt.IsFalse)
+}
--- a/core/kern/loop.go
+++ b/core/kern/loop.go
@@ -32,6 +32,9 @@
 	cmds   sync.WaitGroup
 	ended  chan struct{}
 	once   sync.Once
+
+	mu      sync.Mutex
+	started bool // or stopped before that
 }
 
 func (l *Loop) init() {
@@ -42,16 +45,25 @@
 	})
 }
 
-// Start starts the control goroutine, which applies the messages.
+// Start starts the control goroutine, which applies the messages. It does nothing after
+// Stop.
 func (l *Loop) Start() {
 	l.init()
-	go l.run()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if !l.started {
+		l.started = true
+		go l.run()
+	}
 }
 
 // Send queues a message for the model. It blocks while the inbox is full, and
 // returns false once the loop has stopped.
 func (l *Loop) Send(msg Msg) bool {
 	l.init()
+	if l.ctx.Err() != nil {
+		return false
+	}
 	select {
 	case l.inbox <- msg:
 		return true
@@ -86,10 +98,17 @@
 	}
 }
 
-// Stop stops the loop, cancels its commands and waits for both.
+// Stop stops the loop, cancels its commands and waits for both. A loop that was not
+// started stops at once.
 func (l *Loop) Stop() {
 	l.init()
 	l.cancel()
+	l.mu.Lock()
+	if !l.started {
+		l.started = true
+		close(l.ended)
+	}
+	l.mu.Unlock()
 	<-l.ended
 	l.cmds.Wait()
 }
