Refused and silent peers are forgotten after a second, so that neither hides the other

Cause: a call asks four refused peers at most, refused ones came before silent ones, and both stayed in their group for 2 and 5 s. Six refused peers were asked in turn, and the woken ones not at all.

Change: both are forgotten after 1 s and then asked in random order with all others.

--- a/io/relay/rank.go
+++ b/io/relay/rank.go
@@ -8,12 +8,9 @@
 	"gypsumcrank/core/clock"
 )
 
-// How long a peer that did not help is asked after those of which nothing is known.
-// The store may serve it again, or its process may go on, at any moment.
-const (
-	refusedFor = 2 * clock.Second
-	silentFor  = 5 * clock.Second
-)
+// forgetAfter is how long a peer that did not help is asked after those of which nothing
+// is known. The store may serve it again, or its process may go on, at any moment.
+const forgetAfter = clock.Second
 
 // outcome is how a call through a peer ended.
 type outcome string
@@ -109,10 +106,13 @@
 	if addr == k.last {
 		return classLast
 	}
-	switch s := k.seen[addr]; {
-	case s.outcome == refused && now-s.at < refusedFor:
+	s := k.seen[addr]
+	switch {
+	case now-s.at >= forgetAfter:
+		return classUnknown
+	case s.outcome == refused:
 		return classRefused
-	case s.outcome == silent && now-s.at < silentFor:
+	case s.outcome == silent:
 		return classSilent
 	}
 	return classUnknown
--- a/io/relay/relay_test.go
+++ b/io/relay/relay_test.go
@@ -361,19 +361,25 @@
 	c.Check(calls.Load(), qt.Equals, int64(0))
 }
 
-// Guards against a peer that is asked last for ever because it once did not reply.
+// Guards against a peer that is asked last for ever because it once did not reply, and
+// against calls that go round the refused peers and never come to it: a front of Bazaarlink
+// was 1.7 s longer behind than its served peers were frozen.
 func TestPeersThatWereFrozenOnceAreAskedAgain(t *testing.T) {
-	f := newTurnedAway(t, 2)
-	for _, p := range f.proxies[2:] {
-		p.Set(plat.Silence)
-	}
-	for range 3 {
-		_ = f.list(context.Background()) // fails, and finds out that five peers don't reply
-	}
-	for _, p := range f.proxies[2:] {
-		p.Set(plat.Pass)
+	for _, refused := range []int{2, 5} {
+		t.Run(fmt.Sprint(refused), func(t *testing.T) {
+			f := newTurnedAway(t, refused)
+			for _, p := range f.proxies[refused:] {
+				p.Set(plat.Silence)
+			}
+			for range 3 {
+				_ = f.list(context.Background()) // fails, and finds out which peers don't reply
+			}
+			for _, p := range f.proxies[refused:] {
+				p.Set(plat.Pass)
+			}
+			f.check(qt.New(t))
+		})
 	}
-	f.check(qt.New(t))
 }
 
 // Guards against time-outs that add up beyond the 2 s that a change has: open connections
