Gangs cross racks only if no rack can hold them, or most of the service is idle

Hypothesis: a run away from its data or across racks takes three times as long and holds three times its share.

Change: the eviction plan crosses racks only as placement may; guaranteed requests wait for the rest of a rack for a third of the reclaim limit; a wait alone no longer allows the detour unless most of the service is idle; a task whose data rack is gone may leave it at once.

--- a/core/plan/booking.go
+++ b/core/plan/booking.go
@@ -40,7 +40,7 @@
 
 // cheapestEviction compares the ways to free resources for a request: on each
 // rack alone, on each rack after a wait that makes the request late, and on any
-// workers.
+// workers if it may cross racks.
 func (p *Planner) cheapestEviction(s *snapshot, r *request) *evictionPlan {
 	u := r.first()
 	var best *evictionPlan
@@ -64,7 +64,9 @@
 		try(s.inRack(rack), wait, 0)
 		try(s.inRack(rack), longer, p.crossRackWork(r)/2)
 	}
-	try(s.workers, wait, p.crossRackWork(r))
+	if p.mayCrossRacks(s, r) || best == nil && r.guaranteed && p.racksKnown(r) {
+		try(s.workers, wait, p.crossRackWork(r))
+	}
 	return best
 }
 
--- a/core/plan/place.go
+++ b/core/plan/place.go
@@ -206,16 +206,37 @@
 // will join soon.
 const joinTime = 2 * clock.Second
 
-// mayCrossRacks reports whether a request has waited long enough for the right
-// rack, could not run on a single rack even if one were empty, or is likely to crash its
-// worker anyway.
+// mayCrossRacks reports whether a request may run away from its data or on several racks, where
+// it takes CrossRackFactor times as long and holds its resources for as long: if no rack can hold
+// it even when empty, if it is likely to crash its worker anyway, or if it has waited for longer than
+// the detour takes while most of the service is idle.
 func (p *Planner) mayCrossRacks(s *snapshot, r *request) bool {
 	u := r.first()
-	settled := r.guaranteed || p.now.Monotonic-p.started > joinTime // before, workers may not have joined yet
-	if u.step.SameRack && len(r.units) > 1 && settled && !s.fitsOneEmptyRack(r) || u.crashes.Likely() {
+	if u.crashes.Likely() || p.racksKnown(r) && !s.rackCanHold(r) {
 		return true
 	}
-	return p.now.Monotonic-r.waitingSince >= p.crossRackDelay(u)
+	return p.now.Monotonic-r.waitingSince >= p.crossRackDelay(u) && p.mostlyIdle(r.job().Service)
+}
+
+// racksKnown reports whether the workers that will join soon have joined, as far as a request can
+// wait for them.
+func (p *Planner) racksKnown(r *request) bool {
+	return p.now.Monotonic-p.started > joinTime || r.guaranteed && p.now.Monotonic-r.waitingSince >= p.Settings.ReclaimLimit/reclaimWaitDivisor
+}
+
+// rackCanHold reports whether some rack, if it were empty, could hold the request: for a gang of one
+// rack all of its tasks, for a task with its data in a rack that task in that rack.
+func (s *snapshot) rackCanHold(r *request) bool {
+	u := r.first()
+	if u.step.SameRack && len(r.units) > 1 {
+		return s.fitsOneEmptyRack(r)
+	}
+	for _, w := range s.inRack(u.step.DataRack) {
+		if matches(w, u) && u.need().Fits(w.capacity) {
+			return true
+		}
+	}
+	return u.step.DataRack == ""
 }
 
 func (s *snapshot) inRack(rack string) []*worker {
