A gang that has waited may stop less urgent work that checkpoints

Change: what was the right of priority 0 alone, to stop running work, a gang has after 3 s against work of a lower priority that checkpoints and was stopped less than twice, for at most a quarter of its own work (core/evict, Wide).

Kept for gangs, checkpointing victims.

--- a/core/plan/evict.go
+++ b/core/plan/evict.go
@@ -7,6 +7,7 @@
 
 	"gypsumcrank/core/clock"
 	"gypsumcrank/core/evict"
+	"gypsumcrank/core/fair"
 	"gypsumcrank/core/task"
 )
 
@@ -49,22 +50,32 @@
 // isWorth reports whether a request can still earn the work that an eviction plan destroys.
 func (p *Planner) isWorth(r *request, e *evictionPlan) bool {
 	length := p.expectedDuration(r.job(), r.first().name.Step)
-	q := evict.Request{Length: length, Deadline: r.deadline, Expiry: r.expiry, Guaranteed: r.guaranteed}
+	q := evict.Request{Wide: r.priority() > 0, Length: length, Deadline: r.deadline, Expiry: r.expiry, Guaranteed: r.guaranteed}
 	for _, u := range r.units {
 		q.Work += float64(length) * u.step.Need.Cores()
 	}
 	return p.lostWork(e) <= q.Budget(p.now.Monotonic)
 }
 
-// evictable reports whether a task may be evicted for a request. A task of
-// priority 0 may be evicted only for a guaranteed request whose job has not
-// started.
+// mayEvict reports whether work may be evicted for a request that can't be placed: if it is
+// urgent, or if it is a gang that has waited for so long that narrow work of less urgent jobs keeps
+// it from ever finding all its resources free at once.
+func (p *Planner) mayEvict(r *request) bool {
+	if r.priority() == 0 {
+		return true
+	}
+	return len(r.units) > 1 && !r.expired && r.rank != fair.OverShare && p.now.Monotonic-r.waitingSince >= starvationWait
+}
+
+// evictable reports whether a task may be evicted for a request: any less urgent one for an urgent
+// request, and one of a lower priority that is cheap to stop for others. A task of priority 0 may be
+// evicted only for a guaranteed request whose job has not started.
 func (p *Planner) evictable(s *snapshot, r *request, u *unit) bool {
 	if s.evicted[u] || u.done || u.step.Service || u.phase == stopping || u.phase == inDoubt || u.job == r.job() {
 		return false
 	}
 	if u.job.Priority > 0 {
-		return true
+		return r.priority() == 0 || u.job.Priority > r.priority() && u.cheapToStop()
 	}
 	return r.guaranteed && !r.job().started
 }
--- a/core/plan/sched.go
+++ b/core/plan/sched.go
@@ -71,11 +71,9 @@
 		if p.waitsForTrial(s, r) {
 			continue
 		}
-		if r.priority() == 0 {
-			if !p.useReservation(s, r) && p.needsResourcesNow(r) {
-				p.evictFor(s, r)
-				blocked[key] = r.first().reservedOn == nil
-			}
+		if p.mayEvict(r) && !p.useReservation(s, r) && p.needsResourcesNow(r) {
+			p.evictFor(s, r)
+			blocked[key] = r.first().reservedOn == nil
 		}
 		if r.first().reservedOn == nil {
 			p.reserve(s, r)
