--- a/io/front/front.go
+++ b/io/front/front.go
@@ -180,7 +180,7 @@
 		return nil
 	}
 	after := f.retryAfter()
-	f.Log.Warn("refused_store_out", "call", call, "job", id, "heard_before", outage, "waited", f.Clock.Monotonic()-began, "retry_after", after)
+	f.Log.Warn("refused_store_out", "call", call, "job", id, "heard_before", outage, "waited", f.Clock.Monotonic()-began, "remaining", remaining, "retry_after", after)
 	return fault.New(fault.StoreUnavailable, "retry after the given time", "the store is unavailable").WithOutcome(fault.NotRun).WithRetry(after)
 }
 
