--- a/internal/bound/main.go
+++ b/internal/bound/main.go
@@ -39,10 +39,10 @@
 type report struct {
 	Worth float64 `json:"G"`
 	All   struct {
-		Jobs     int `json:"n"`
-		Late     int `json:"late"`
-		Refused  int `json:"refused"`
-		Failed   int `json:"failed"`
+		Jobs    int `json:"n"`
+		Late    int `json:"late"`
+		Refused int `json:"refused"`
+		Failed  int `json:"failed"`
 		NotOwed int `json:"not_owed"`
 	} `json:"all"`
 	Events []struct {
