--- a/core/plan/headroom.go
+++ b/core/plan/headroom.go
@@ -8,11 +8,11 @@
 )
 
 const (
-	// maxHeadroomShare is the largest share of all accelerators that is kept free
-	// for urgent jobs to come.
-	maxHeadroomShare = 0.4
-	// startTime is how long it takes at most to record, order and confirm a start.
-	startTime = 600 * clock.Millisecond
+	// headroomShare is the share of all accelerators that is kept free for
+	// urgent jobs to come.
+	headroomShare = 0.27
+	// headroomPeriod is how long after the last urgent job headroom is kept.
+	headroomPeriod = 10 * clock.Second
 	// headroomSlack is the share of its objective that a job must have to
 	// spare in order to leave the headroom alone.
 	headroomSlack = 0.3
@@ -21,28 +21,19 @@
 	maxIdleWait = 1500 * clock.Millisecond
 )
 
-// recordUrgent notes the accelerators that an occurrence of an urgent job needs.
-func (p *Planner) recordUrgent(j *job, occurrence int) {
-	wall := j.Accepted
-	if j.Timed() {
-		wall = j.Due(occurrence)
-	}
-	need := 0
-	for _, s := range j.Steps {
-		need = max(need, s.Count*s.Need.Accelerators)
-	}
-	p.urgent.Add(p.now.Monotonic-max(0, p.now.Wall-wall), need)
-}
-
 // reserveHeadroom takes the emptiest workers out of the snapshot for requests
 // that can wait, so that urgent jobs start without an eviction.
 func (p *Planner) reserveHeadroom(s *snapshot) {
+	p.headroom = 0
+	if p.lastUrgentAt == 0 || p.now.Monotonic-p.lastUrgentAt > headroomPeriod {
+		return
+	}
 	headroom := make(map[*worker]task.Resources)
 	total := 0
 	for _, w := range s.workers {
 		total += w.capacity.Accelerators
 	}
-	want := min(p.urgent.Keep(p.now.Monotonic), int(maxHeadroomShare*float64(total)))
+	want := int(headroomShare * float64(total))
 	p.headroom = want
 	emptiest := append([]*worker(nil), s.workers...)
 	sort.SliceStable(emptiest, func(i, j int) bool {
--- a/core/plan/job.go
+++ b/core/plan/job.go
@@ -52,6 +52,9 @@
 		return
 	}
 	p.emit(Event{Kind: "job_taken", Job: j.ID, Detail: j.summary()})
+	if j.Priority == 0 {
+		p.lastUrgentAt = p.now.Monotonic
+	}
 	p.addDueOccurrences(j)
 	if m.Cancelled {
 		p.cancel(j.ID)
@@ -131,9 +134,6 @@
 func (p *Planner) addOccurrence(j *job) {
 	k := j.dueOccurrences
 	j.dueOccurrences++
-	if j.Priority == 0 {
-		p.recordUrgent(j, k)
-	}
 	for s := range j.Steps {
 		step := &j.Steps[s]
 		var g *gang
--- a/core/plan/plan.go
+++ b/core/plan/plan.go
@@ -14,7 +14,6 @@
 	"gypsumcrank/core/clock"
 	"gypsumcrank/core/fair"
 	"gypsumcrank/core/route"
-	"gypsumcrank/core/spare"
 	"gypsumcrank/core/speed"
 	"gypsumcrank/core/task"
 )
@@ -74,8 +73,8 @@
 	demand         *fair.Ledger              // what the accounts use and wait for
 	demandAt       clock.Millis              // when demand was last updated
 	overShareAt    map[accountClass]clock.Millis
-	urgent         spare.Demand              // for accelerators, by jobs of priority 0
-	headroom       int                       // accelerators that are to be kept free for such jobs
+	lastUrgentAt   clock.Millis              // when the last job of priority 0 was added
+	headroom       int                       // accelerators to be kept free for such jobs
 	lastScheduled  clock.Millis              // when schedule last ran
 	reservations   map[stepKey]*reservation  // of requests that wait for long
 	waitLoggedAt   clock.Millis              // when the log last said why a request waits
@@ -143,7 +142,6 @@
 		return
 	}
 	p.started = now.Monotonic
-	p.urgent.Window = p.Settings.MaxStopTime + startTime
 	p.jobs = make(map[string]*job)
 	p.workers = make(map[task.Incarnation]*worker)
 	p.byNode = make(map[string]*worker)
