A gang that loses the right to stop work gives up its booking

Found by reading the diff: a gang that had booked resources and then expired, or whose account went over its share, was neither served by its booking nor given a reservation, as it still had the former.

--- a/core/plan/sched.go
+++ b/core/plan/sched.go
@@ -71,7 +71,9 @@
 		if p.waitsForTrial(s, r) {
 			continue
 		}
-		if p.mayEvict(r) && !p.useReservation(s, r) && p.needsResourcesNow(r) {
+		if !p.mayEvict(r) {
+			r.dropBooking() // it has lost the right, and a reservation takes its place
+		} else if !p.useReservation(s, r) && p.needsResourcesNow(r) {
 			p.evictFor(s, r)
 			blocked[key] = r.first().reservedOn == nil
 		}
