--- a/internal/bound/log.go
+++ b/internal/bound/log.go
@@ -122,12 +122,9 @@
 	return "late    "
 }
 
-// objectives of the queues by priority: multiples of the run time, and seconds.
-var objectives = map[int][2]float64{0: {1.5, 0.25}, 1: {3, 1}, 2: {3, 3}}
-
 // late returns the jobs that ended late by their estimates, or not at all, and whether they had
 // too little time left when the fronts were back after a power failure.
-func (d *day) late() []lateJob {
+func (d *day) late(objective func(priority int, expected float64) float64) []lateJob {
 	jobs := make(map[string]*lateJob)
 	var order []string
 	skip := make(map[string]bool)
@@ -141,8 +138,7 @@
 			for _, m := range stepPattern.FindAllStringSubmatch(e.fields["detail"], -1) {
 				j.expected += seconds(m[1])
 			}
-			o := objectives[j.priority]
-			j.objective = o[0]*j.expected + o[1]
+			j.objective = objective(j.priority, j.expected)
 			skip[id] = strings.Contains(e.fields["detail"], "occurrences=")
 			jobs[id], order = j, append(order, id)
 		case j == nil:
--- a/internal/bound/main.go
+++ b/internal/bound/main.go
@@ -24,6 +24,9 @@
 	Report string  `arg:"" help:"The bench's report of the play." type:"existingfile"`
 	Log    string  `arg:"" help:"What the fronts logged in the play." type:"existingfile"`
 	Limit  float64 `help:"Seconds that a caller has for all tries." default:"3"`
+	// A job is in time if it ends within its stretch times its run time, and its target more.
+	Stretches []float64 `help:"Stretch of the queues by priority." default:"1.5,3,3"`
+	Targets   []float64 `help:"Target of the queues by priority, in seconds." default:"0.25,1,3"`
 }
 
 func main() {
@@ -77,7 +80,7 @@
 		}
 		fmt.Printf("refused  %s  from %.2f to %.2f s  no store all the while: %t\n", c.job, c.from, c.to, covered)
 	}
-	hopeless, late := 0, d.late()
+	hopeless, late := 0, d.late(o.objective)
 	for _, j := range late {
 		if j.hopeless {
 			hopeless++
@@ -90,6 +93,12 @@
 	return nil
 }
 
+// objective returns within what time a job that runs for so long has to end, in seconds.
+func (o *options) objective(priority int, expected float64) float64 {
+	p := min(priority, len(o.Stretches)-1, len(o.Targets)-1)
+	return o.Stretches[p]*expected + o.Targets[p]
+}
+
 // outages returns when no caller could be accepted: the store was down for all, or no front was up
 // after the final fault.
 func (r *report) outages(d *day) []span {
