--- a/core/plan/rack_test.go
+++ b/core/plan/rack_test.go
@@ -18,6 +18,18 @@
 	}}
 }
 
+// halfJoined returns a fleet whose new planner sees one worker of each rack of two. The account
+// acme is guaranteed a whole rack.
+func halfJoined(t *testing.T) *fleet {
+	f := newFleet(t, 4, 2, workerResources)
+	f.config.Accounts["acme"] = route.Account{Name: "acme", Accelerators: 16}
+	for _, i := range []int{1, 3} {
+		f.hosts[i].partitioned = true
+	}
+	f.takeOver()
+	return f
+}
+
 // racksOf runs until a job has ended, but not for longer than limit, and returns the racks in which
 // it ran.
 func (f *fleet) racksOf(id string, limit clock.Millis) map[string]bool {
@@ -40,12 +52,7 @@
 // failure of trouble-1 and scale-2 of sanad-hq: gangs of 3 s took 9 and 13 s).
 func TestUrgentGangsWaitForTheirRackToJoin(t *testing.T) {
 	for _, guaranteed := range []bool{false, true} {
-		f := newFleet(t, 4, 2, workerResources)
-		f.config.Accounts["acme"] = route.Account{Name: "acme", Accelerators: 16}
-		for _, i := range []int{1, 3} {
-			f.hosts[i].partitioned = true
-		}
-		f.takeOver()
+		f := halfJoined(t)
 		gang := rackGang("gang", 0, 3000)
 		if guaranteed {
 			gang.Account = "acme"
@@ -62,12 +69,7 @@
 
 // A guaranteed gang starts in time although its rack does not become whole.
 func TestGuaranteedGangsCrossRacksInTime(t *testing.T) {
-	f := newFleet(t, 4, 2, workerResources)
-	f.config.Accounts["acme"] = route.Account{Name: "acme", Accelerators: 16}
-	for _, i := range []int{1, 3} {
-		f.hosts[i].partitioned = true
-	}
-	f.takeOver()
+	f := halfJoined(t)
 	gang := rackGang("gang", 0, 3000)
 	gang.Account = "acme"
 	f.submit(gang)
