--- a/core/plan/evict.go
+++ b/core/plan/evict.go
@@ -159,6 +159,9 @@
 			if !p.allowed(w, u) || !belowWorkerLimit(w, u, count[w]) {
 				continue
 			}
+			if r.priority() > 0 && !u.need().Fits(s.freeSoon[w].Plus(freed[w]).Plus(p.freeable(s, r, w))) {
+				continue
+			}
 			available := s.freeSoon[w].Plus(freed[w]).Minus(p.lateResources(w, e))
 			victims, cost, ok := p.selectVictims(s, r, e, w, u.need(), available)
 			if !ok {
@@ -199,6 +202,30 @@
 	return e
 }
 
+// freeable returns at least what could come free on a worker for a request that isn't urgent: what
+// the request may stop there, and what may end soon. It rules most workers out without a search, as
+// such requests wait for long and many at a time.
+func (p *Planner) freeable(s *snapshot, r *request, w *worker) task.Resources {
+	key := freeableKey{w, r.priority()}
+	if known, ok := s.freeable[key]; ok {
+		return known
+	}
+	var sum task.Resources
+	for u := range w.units {
+		if u.phase == running && u.percent >= minPredictPercent || u.job.Priority > r.priority() && u.cheapToStop() {
+			sum = sum.Plus(u.need())
+		}
+	}
+	s.freeable[key] = sum
+	return sum
+}
+
+// freeableKey is a worker and the priority of the requests that something may be freed for.
+type freeableKey struct {
+	worker   *worker
+	priority int
+}
+
 func gangUnits(u *unit) []*unit {
 	if u.gang != nil {
 		return u.gang.members
--- a/core/plan/place.go
+++ b/core/plan/place.go
@@ -23,11 +23,12 @@
 	withheld      map[*worker]task.Resources // taken out of free for them
 	reservedShare map[string]float64         // share of each service that is reserved
 	releases      map[*worker][]wide.Release // expected ends, by worker
+	freeable      map[freeableKey]task.Resources
 }
 
 func (p *Planner) newSnapshot() *snapshot {
 	s := &snapshot{free: make(map[*worker]task.Resources), freeSoon: make(map[*worker]task.Resources), evicted: make(map[*unit]bool), byRack: make(map[string][]*worker),
-		reserved: make(map[*worker]task.Resources), withheld: make(map[*worker]task.Resources), reservedShare: make(map[string]float64), releases: make(map[*worker][]wide.Release)}
+		reserved: make(map[*worker]task.Resources), withheld: make(map[*worker]task.Resources), reservedShare: make(map[string]float64), releases: make(map[*worker][]wide.Release), freeable: make(map[freeableKey]task.Resources)}
 	racks := make(map[string]bool)
 	for _, w := range p.workers {
 		if !p.usable(w) {
