--- a/core/evict/evict.go
+++ b/core/evict/evict.go
@@ -63,25 +63,21 @@
 	Deadline   clock.Millis // when its job becomes late
 	Expiry     clock.Millis // when its job is worth nothing
 	Guaranteed bool
-	Wide       bool // it isn't urgent, and only gains time by an eviction
 }
 
 // Weights of the work of a request against the work lost for it.
 const (
 	inTimeWeight = 6 // as a late urgent job costs its caller more than a late one of another class
 	lateWeight   = 1
-	wideWeight   = 0.25
 )
 
 // Budget returns the most work that may be lost for a request that could start now. What is
 // guaranteed has to be had whatever it costs; what can't end in time any more earns less,
-// and what would end too late earns nothing. Wide work may cost others a part of what it does.
+// and what would end too late earns nothing.
 func (r Request) Budget(now clock.Millis) float64 {
 	switch end := now + r.Length; {
 	case r.Guaranteed:
 		return math.Inf(1)
-	case r.Wide && end <= r.Expiry:
-		return wideWeight * r.Work
 	case end <= r.Deadline:
 		return inTimeWeight * r.Work
 	case end <= r.Expiry:
--- a/core/plan/booking.go
+++ b/core/plan/booking.go
@@ -5,13 +5,10 @@
 	"gypsumcrank/core/task"
 )
 
-// evictFor evicts the tasks that lose the least work for a request, and reserves their
-// resources for it until all are free. It evicts nothing if that loses more than the request is
-// worth.
+// evictFor evicts the tasks that lose the least work for a request of priority
+// 0, and reserves their resources for it until all are free. It evicts nothing if that
+// loses more than the request is worth.
 func (p *Planner) evictFor(s *snapshot, r *request) {
-	if r.priority() > 0 {
-		r.dropBooking() // what can't be used any more must not keep it from a reservation
-	}
 	best := p.cheapestEviction(s, r)
 	if best == nil || !p.isWorth(r, best) {
 		return
@@ -41,16 +38,9 @@
 	}
 }
 
-// dropBooking forgets the resources that were being freed for a request.
-func (r *request) dropBooking() {
-	for _, u := range r.units {
-		u.reservedOn = nil
-	}
-}
-
 // cheapestEviction compares the ways to free resources for a request: on each
 // rack alone, on each rack after a wait that makes the request late, and on any
-// workers if it may cross racks.
+// workers.
 func (p *Planner) cheapestEviction(s *snapshot, r *request) *evictionPlan {
 	u := r.first()
 	var best *evictionPlan
@@ -74,9 +64,7 @@
 		try(s.inRack(rack), wait, 0)
 		try(s.inRack(rack), longer, p.crossRackWork(r)/2)
 	}
-	if p.mayCrossRacks(s, r) || best == nil && r.guaranteed && p.racksKnown(r) {
-		try(s.workers, wait, p.crossRackWork(r))
-	}
+	try(s.workers, wait, p.crossRackWork(r))
 	return best
 }
 
--- a/core/plan/evict.go
+++ b/core/plan/evict.go
@@ -7,7 +7,6 @@
 
 	"gypsumcrank/core/clock"
 	"gypsumcrank/core/evict"
-	"gypsumcrank/core/fair"
 	"gypsumcrank/core/task"
 )
 
@@ -51,7 +50,7 @@
 // notes both in the plan.
 func (p *Planner) isWorth(r *request, e *evictionPlan) bool {
 	length := p.expectedDuration(r.job(), r.first().name.Step)
-	q := evict.Request{Wide: r.priority() > 0, Length: length, Deadline: r.deadline, Expiry: r.expiry, Guaranteed: r.guaranteed}
+	q := evict.Request{Length: length, Deadline: r.deadline, Expiry: r.expiry, Guaranteed: r.guaranteed}
 	for _, u := range r.units {
 		q.Work += float64(length) * u.step.Need.Cores()
 	}
@@ -59,25 +58,15 @@
 	return e.loss <= e.budget
 }
 
-// mayEvict reports whether work may be evicted for a request that can't be placed: if it is
-// urgent, or if it is a gang that has waited for so long that narrow work of less urgent jobs keeps
-// it from ever finding all its resources free at once.
-func (p *Planner) mayEvict(r *request) bool {
-	if r.priority() == 0 {
-		return true
-	}
-	return len(r.units) > 1 && !r.expired && r.rank != fair.OverShare && p.now.Monotonic-r.waitingSince >= starvationWait
-}
-
-// evictable reports whether a task may be evicted for a request: any less urgent one for an urgent
-// request, and one of a lower priority that is cheap to stop for others. A task of priority 0 may be
-// evicted only for a guaranteed request whose job has not started.
+// evictable reports whether a task may be evicted for a request. A task of
+// priority 0 may be evicted only for a guaranteed request whose job has not
+// started.
 func (p *Planner) evictable(s *snapshot, r *request, u *unit) bool {
 	if s.evicted[u] || u.done || u.step.Service || u.phase == stopping || u.phase == inDoubt || u.job == r.job() {
 		return false
 	}
 	if u.job.Priority > 0 {
-		return r.priority() == 0 || u.job.Priority > r.priority() && u.cheapToStop()
+		return true
 	}
 	return r.guaranteed && !r.job().started
 }
@@ -123,8 +112,8 @@
 		at = append(at, w.node)
 	}
 	perSecond := float64(clock.Second)
-	return fmt.Sprintf("at=%s stops=%d awaits=%d within=%s guaranteed=%t priority=%d loses_core_s=%.0f budget_core_s=%.0f",
-		strings.Join(at, ","), len(e.victims), len(e.awaited), e.wait, r.guaranteed, r.priority(), e.loss/perSecond, e.budget/perSecond)
+	return fmt.Sprintf("at=%s stops=%d awaits=%d within=%s guaranteed=%t loses_core_s=%.0f budget_core_s=%.0f",
+		strings.Join(at, ","), len(e.victims), len(e.awaited), e.wait, r.guaranteed, e.loss/perSecond, e.budget/perSecond)
 }
 
 // endsTooLate reports whether a task that another request awaits ends too late
@@ -159,9 +148,6 @@
 			if !p.allowed(w, u) || !belowWorkerLimit(w, u, count[w]) {
 				continue
 			}
-			if r.priority() > 0 && !u.need().Fits(s.freeSoon[w].Plus(freed[w]).Plus(p.freeable(s, r, w))) {
-				continue
-			}
 			available := s.freeSoon[w].Plus(freed[w]).Minus(p.lateResources(w, e))
 			victims, cost, ok := p.selectVictims(s, r, e, w, u.need(), available)
 			if !ok {
@@ -202,30 +188,6 @@
 	return e
 }
 
-// freeable returns at least what could come free on a worker for a request that isn't urgent: what
-// the request may stop there, and what may end soon. It rules most workers out without a search, as
-// such requests wait for long and many at a time.
-func (p *Planner) freeable(s *snapshot, r *request, w *worker) task.Resources {
-	key := freeableKey{w, r.priority()}
-	if known, ok := s.freeable[key]; ok {
-		return known
-	}
-	var sum task.Resources
-	for u := range w.units {
-		if u.phase == running && u.percent >= minPredictPercent || u.job.Priority > r.priority() && u.cheapToStop() {
-			sum = sum.Plus(u.need())
-		}
-	}
-	s.freeable[key] = sum
-	return sum
-}
-
-// freeableKey is a worker and the priority of the requests that something may be freed for.
-type freeableKey struct {
-	worker   *worker
-	priority int
-}
-
 func gangUnits(u *unit) []*unit {
 	if u.gang != nil {
 		return u.gang.members
--- a/core/plan/place.go
+++ b/core/plan/place.go
@@ -23,12 +23,11 @@
 	withheld      map[*worker]task.Resources // taken out of free for them
 	reservedShare map[string]float64         // share of each service that is reserved
 	releases      map[*worker][]wide.Release // expected ends, by worker
-	freeable      map[freeableKey]task.Resources
 }
 
 func (p *Planner) newSnapshot() *snapshot {
 	s := &snapshot{free: make(map[*worker]task.Resources), freeSoon: make(map[*worker]task.Resources), evicted: make(map[*unit]bool), byRack: make(map[string][]*worker),
-		reserved: make(map[*worker]task.Resources), withheld: make(map[*worker]task.Resources), reservedShare: make(map[string]float64), releases: make(map[*worker][]wide.Release), freeable: make(map[freeableKey]task.Resources)}
+		reserved: make(map[*worker]task.Resources), withheld: make(map[*worker]task.Resources), reservedShare: make(map[string]float64), releases: make(map[*worker][]wide.Release)}
 	racks := make(map[string]bool)
 	for _, w := range p.workers {
 		if !p.usable(w) {
@@ -207,37 +206,16 @@
 // will join soon.
 const joinTime = 2 * clock.Second
 
-// mayCrossRacks reports whether a request may run away from its data or on several racks, where
-// it takes CrossRackFactor times as long and holds its resources for as long: if no rack can hold
-// it even when empty, if it is likely to crash its worker anyway, or if it has waited for longer than
-// the detour takes while most of the service is idle.
+// mayCrossRacks reports whether a request has waited long enough for the right
+// rack, could not run on a single rack even if one were empty, or is likely to crash its
+// worker anyway.
 func (p *Planner) mayCrossRacks(s *snapshot, r *request) bool {
 	u := r.first()
-	if u.crashes.Likely() || p.racksKnown(r) && !s.rackCanHold(r) {
+	settled := r.guaranteed || p.now.Monotonic-p.started > joinTime // before, workers may not have joined yet
+	if u.step.SameRack && len(r.units) > 1 && settled && !s.fitsOneEmptyRack(r) || u.crashes.Likely() {
 		return true
 	}
-	return p.now.Monotonic-r.waitingSince >= p.crossRackDelay(u) && p.mostlyIdle(r.job().Service)
-}
-
-// racksKnown reports whether the workers that will join soon have joined, as far as a request can
-// wait for them.
-func (p *Planner) racksKnown(r *request) bool {
-	return p.now.Monotonic-p.started > joinTime || r.guaranteed && p.now.Monotonic-r.waitingSince >= p.Settings.ReclaimLimit/reclaimWaitDivisor
-}
-
-// rackCanHold reports whether some rack, if it were empty, could hold the request: for a gang of one
-// rack all of its tasks, for a task with its data in a rack that task in that rack.
-func (s *snapshot) rackCanHold(r *request) bool {
-	u := r.first()
-	if u.step.SameRack && len(r.units) > 1 {
-		return s.fitsOneEmptyRack(r)
-	}
-	for _, w := range s.inRack(u.step.DataRack) {
-		if matches(w, u) && u.need().Fits(w.capacity) {
-			return true
-		}
-	}
-	return u.step.DataRack == ""
+	return p.now.Monotonic-r.waitingSince >= p.crossRackDelay(u)
 }
 
 func (s *snapshot) inRack(rack string) []*worker {
--- a/core/plan/sched.go
+++ b/core/plan/sched.go
@@ -71,11 +71,11 @@
 		if p.waitsForTrial(s, r) {
 			continue
 		}
-		if !p.mayEvict(r) {
-			r.dropBooking() // it has lost the right, and a reservation takes its place
-		} else if !p.useReservation(s, r) && p.needsResourcesNow(r) {
-			p.evictFor(s, r)
-			blocked[key] = r.first().reservedOn == nil
+		if r.priority() == 0 {
+			if !p.useReservation(s, r) && p.needsResourcesNow(r) {
+				p.evictFor(s, r)
+				blocked[key] = r.first().reservedOn == nil
+			}
 		}
 		if r.first().reservedOn == nil {
 			p.reserve(s, r)
