Review case 2: a gang is given up after one failed run (LOST)

Cause: if two members fail in the same run, the second one's failure is counted on top of the gang's (core/plan/lists.go, countFailure), so a job with two attempts is failed after one. Change: claim and script; the rig's executors know gangs and can be faulty. Nothing is fixed.

--- a/review/rig/cases.go
+++ b/review/rig/cases.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"hash/fnv"
 	"net/http"
+	"strings"
 	"time"
 )
 
@@ -262,6 +263,95 @@
 	return nil, errors.New("the job has not completed, but works")
 }
 
+// apart submits an urgent job whose subtasks must run on different executors while batch work fills
+// them all.
+func apart(w *world) (verdict, error) {
+	const limit = 1
+	urgent := jobID(2)
+	lengths := func(task string) time.Duration {
+		if task[:len(urgent)] == urgent {
+			return 2500 * time.Millisecond
+		}
+		return 40 * time.Second
+	}
+	if err := w.start(3, elevenExecutors, whole, lengths); err != nil {
+		return nil, err
+	}
+	if w.trouble {
+		const batch = 88
+		for n := range 2 {
+			step := map[string]any{"count": batch / 2, "cpu": 11000, "mem_mb": 23000, "gpu": 1, "estimate_ms": 40000}
+			if err := w.submit(birch, batchPath, jobID(10+n), step); err != nil {
+				return nil, err
+			}
+		}
+		if err := w.await(15*time.Second, "the batch jobs to start", func() bool { return len(w.rec.allRuns()) == batch }); err != nil {
+			return nil, err
+		}
+	}
+	time.Sleep(4 * time.Second)
+	step := map[string]any{"count": 4, "cpu": 15000, "mem_mb": 31000, "gpu": 1, "estimate_ms": 2500, "anti_affinity": limit}
+	if err := w.submit(acme, urgentPath, urgent, step); err != nil {
+		return nil, err
+	}
+	time.Sleep(12 * time.Second)
+	w.call(acme, "GET", urgentPath+urgent, "")
+	return w.rec.judgeApart(urgent, limit), nil
+}
+
+// faultyGang lets two of fourteen executors fail all that they start, and submits a gang of two that
+// is placed there first.
+func faultyGang(w *world) (verdict, error) {
+	const length = 5 * time.Second
+	id := jobID(1)
+	w.gangs.size = func(task string) int { return 2 }
+	racks := append(append([]string{}, elevenExecutors...), "r4", "r5", "r5")
+	if err := w.start(3, racks, whole, func(string) time.Duration { return length }); err != nil {
+		return nil, err
+	}
+	time.Sleep(3 * time.Second) // all executors are known to the planner
+	w.setFaulty(w.trouble, 0, 1)
+	step := map[string]any{"count": 2, "cpu": 52000, "mem_mb": 75000, "gpu": 8, "estimate_ms": length.Milliseconds(), "gang": true}
+	if err := w.submit(acme, batchPath, id, step); err != nil {
+		return nil, err
+	}
+	time.AfterFunc(4*time.Second, func() { w.setFaulty(false, 0, 1) })
+	answer := ""
+	ended := func() bool {
+		_, answer = w.call(acme, "GET", batchPath+id, "")
+		time.Sleep(200 * time.Millisecond)
+		return !strings.Contains(answer, "queued") && !strings.Contains(answer, "running")
+	}
+	if err := w.await(60*time.Second, "the job to end", ended); err != nil {
+		return nil, err
+	}
+	failures := make(map[string]int)
+	runs := make(map[int]bool)
+	for _, r := range w.rec.allRuns() {
+		if r.how == "failed" {
+			failures[r.task]++
+			runs[r.run] = true
+		}
+	}
+	if strings.Contains(answer, "failed") && len(runs) < maxAttempts {
+		return verdict{fmt.Sprintf("LOST: job %s is shown as %s after %d run of its gang; ends as failed by subtask: %v; max_attempts is %d", id, answer, len(runs), failures, maxAttempts)}, nil
+	}
+	return nil, nil
+}
+
+// setFaulty makes executors fail all that they start.
+func (w *world) setFaulty(on bool, executors ...int) {
+	for _, i := range executors {
+		e := w.executors[i]
+		e.mu.Lock()
+		e.faulty = on
+		e.mu.Unlock()
+		if on {
+			w.rec.logf("%s fails all that it starts from now on", e.id)
+		}
+	}
+}
+
 // foreignPing sends one ping of another writer, with a service that no configuration names, to a
 // side whose executor is at work.
 func foreignPing(w *world) (verdict, error) {
--- a/review/rig/executor.go
+++ b/review/rig/executor.go
@@ -17,6 +17,8 @@
 	stopTime  = 200 * time.Millisecond  // how long a stop takes; at most stop_ms
 	endsAList = 500                     // most ends in one answer to hold
 	beatEvery = 1500 * time.Millisecond
+	// failsAfter is how long runs work on a faulty executor.
+	failsAfter = 300 * time.Millisecond
 )
 
 // capacity is the room of an executor.
@@ -35,6 +37,9 @@
 	rec               *recorder
 	// runTime returns how long a run of a subtask takes; 0 if it runs until it is stopped.
 	runTime func(task string) time.Duration
+	gangs   *gangs
+	// faulty makes all that is started fail as soon as it begins to work.
+	faulty bool
 
 	mu        sync.Mutex
 	born      time.Time
@@ -59,6 +64,7 @@
 	record *taskRun
 	run    int
 	length time.Duration
+	began  time.Time // when it began to work; zero while a gang waits for others
 	timer  *time.Timer
 }
 
@@ -224,6 +230,9 @@
 	e.lastEnd++
 	e.ends = append(e.ends, execEnd{e.lastEnd, r.record, []any{e.lastEnd, task, r.run, how, ""}})
 	e.rec.ended(r.record, how)
+	if how != "done" {
+		e.gangs.ended(task, r)
+	}
 	close(e.changed)
 	e.changed = make(chan struct{})
 }
@@ -300,18 +309,43 @@
 		return
 	}
 	r := &execRun{record: e.rec.started(e.id, o.Task, o.Run), run: o.Run, length: e.runTime(o.Task)}
-	if r.length > 0 {
-		r.timer = time.AfterFunc(r.length, func() { e.finish(o.Task, r) })
-	}
 	e.running[o.Task] = r
+	if e.gangs.size(o.Task) > 0 {
+		e.gangs.join(e, o.Task, r)
+	} else {
+		e.work(o.Task, r)
+	}
 	e.answer(w, http.StatusOK, map[string]any{})
 }
 
-func (e *executor) finish(task string, r *execRun) {
+// begin lets the member of a gang work.
+func (e *executor) begin(task string, r *execRun) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.running[task] == r {
+		if r.timer != nil {
+			r.timer.Stop()
+		}
+		e.work(task, r)
+	}
+}
+
+// work lets a run work until it ends. The caller holds mu.
+func (e *executor) work(task string, r *execRun) {
+	r.began = time.Now()
+	if e.faulty {
+		r.timer = time.AfterFunc(failsAfter, func() { e.endRun(task, r, "failed") })
+	} else if r.length > 0 {
+		r.timer = time.AfterFunc(r.length, func() { e.endRun(task, r, "done") })
+	}
+}
+
+// endRun ends a run if it is still there.
+func (e *executor) endRun(task string, r *execRun, how string) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if e.running[task] == r {
-		e.end(task, "done")
+		e.end(task, how)
 	}
 }
 
@@ -325,13 +359,7 @@
 	if r.timer != nil {
 		r.timer.Stop()
 	}
-	r.timer = time.AfterFunc(stopTime, func() {
-		e.mu.Lock()
-		defer e.mu.Unlock()
-		if e.running[o.Task] == r {
-			e.end(o.Task, "stopped")
-		}
-	})
+	r.timer = time.AfterFunc(stopTime, func() { e.endRun(o.Task, r, "stopped") })
 }
 
 // hold answers with the lists, up to endsAList ends at a time. The caller holds mu.
@@ -356,9 +384,11 @@
 	}
 	running, ended := [][]any{}, [][]any{}
 	for task, run := range e.running {
-		percent := 100
-		if run.length > 0 {
-			percent = min(99, int(100*time.Since(run.record.start)/run.length))
+		percent := 0
+		if run.length == 0 {
+			percent = 100
+		} else if !run.began.IsZero() {
+			percent = min(99, int(100*time.Since(run.began)/run.length))
 		}
 		running = append(running, []any{task, run.run, "", percent, 1})
 	}
--- a/review/rig/main.go
+++ b/review/rig/main.go
@@ -32,6 +32,8 @@
 var cases = map[string]func(w *world) (verdict, error){
 	"reclaim":      reclaim,
 	"large-job":    largeJob,
+	"apart":        apart,
+	"faulty-gang":  faultyGang,
 	"foreign-ping": foreignPing,
 	"many-ends":    manyEnds,
 	"headroom":     headroom,
@@ -55,6 +57,7 @@
 	}
 	defer rec.close()
 	w := &world{rec: rec, trouble: os.Getenv("TROUBLE") != "0"}
+	w.gangs.size = func(string) int { return 0 }
 	rec.logf("case=%s trouble=%t", name, w.trouble)
 	// A case that hangs must not leave processes behind.
 	watchdog := time.AfterFunc(playLimit, func() {
--- a/review/rig/record.go
+++ b/review/rig/record.go
@@ -125,3 +125,22 @@
 	}
 	return out
 }
+
+// judgeApart checks the rule ROUTE for anti_affinity: no more than so many subtasks of a job of one
+// step are at work on one executor when a further one starts there.
+func (r *recorder) judgeApart(job string, limit int) verdict {
+	var out verdict
+	runs := r.allRuns()
+	for i, b := range runs {
+		beside := 0
+		for _, a := range runs[:i] {
+			if a.executor == b.executor && a.task != b.task && a.task[:len(job)] == job && b.task[:len(job)] == job && (a.end.IsZero() || a.end.After(b.start)) {
+				beside++
+			}
+		}
+		if beside >= limit {
+			out = append(out, fmt.Sprintf("ROUTE: %s run %d started on %s at %s beside %d of its step; anti_affinity is %d", b.task, b.run, b.executor, r.at(b.start), beside, limit))
+		}
+	}
+	return out
+}
--- a/review/rig/world.go
+++ b/review/rig/world.go
@@ -24,6 +24,8 @@
 	service   = "studio"
 	host      = "jobs.example"
 	configKey = "op/config"
+	// maxAttempts is how often a subtask, or a gang, may fail.
+	maxAttempts = 2
 )
 
 // tenant is a client account of the deployment.
@@ -63,6 +65,7 @@
 	fronts    []*process
 	sides     []*process
 	executors []*executor
+	gangs     gangs
 }
 
 // process is one front or side.
@@ -111,7 +114,7 @@
 		}
 	}
 	for i, rack := range racks {
-		e := &executor{id: fmt.Sprintf("i-%d", i), service: service, rack: rack, room: room, addr: w.sides[i].app, control: w.sides[i].addr, rec: w.rec, runTime: runTime}
+		e := &executor{id: fmt.Sprintf("i-%d", i), service: service, rack: rack, room: room, addr: w.sides[i].app, control: w.sides[i].addr, rec: w.rec, runTime: runTime, gangs: &w.gangs}
 		if err := e.start(); err != nil {
 			return err
 		}
@@ -134,7 +137,7 @@
 	w.server = &http.Server{Handler: w.store}
 	go func() { _ = w.server.Serve(ln) }()
 	route := func(name, prefix string, priority int, stretch float64, target int) map[string]any {
-		return map[string]any{"name": name, "host": host, "prefix": prefix, "kind": "unsafe", "timeout_ms": 3000, "target_latency_ms": target, "priority": priority, "service": service, "max_attempts": 2, "stretch": stretch}
+		return map[string]any{"name": name, "host": host, "prefix": prefix, "kind": "unsafe", "timeout_ms": 3000, "target_latency_ms": target, "priority": priority, "service": service, "max_attempts": maxAttempts, "stretch": stretch}
 	}
 	var tenants []any
 	for _, t := range []tenant{acme, birch} {
