--- a/review/rig/cases.go
+++ b/review/rig/cases.go
@@ -6,6 +6,7 @@
 	"hash/fnv"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"time"
 )
 
@@ -352,6 +353,91 @@
 	}
 }
 
+// lateStop lets an executor crash and start again under its id after it has left one start and one
+// stop unanswered, which it carries out late.
+func lateStop(w *world) (verdict, error) {
+	const length = 2 * time.Second
+	if err := w.start(3, elevenExecutors, whole, func(string) time.Duration { return length }); err != nil {
+		return nil, err
+	}
+	time.Sleep(3 * time.Second)
+	id := jobID(1)
+	var starts, stops atomic.Int32
+	if w.trouble {
+		for _, e := range w.executors {
+			e.delays = func(path string, o order) time.Duration {
+				switch {
+				case path == "/v1/run-start" && starts.Add(1) == 1:
+					return 4500 * time.Millisecond
+				case path == "/v1/run-stop" && stops.Add(1) == 1:
+					return 8 * time.Second
+				}
+				return 0
+			}
+		}
+	}
+	step := map[string]any{"count": 1, "cpu": 11000, "mem_mb": 23000, "gpu": 1, "estimate_ms": length.Milliseconds()}
+	if err := w.submit(acme, batchPath, id, step); err != nil {
+		return nil, err
+	}
+	confirmed := time.Now()
+	if err := w.await(5*time.Second, "the subtask to start", func() bool { return w.at(firstTask(id)) != nil }); err != nil {
+		return nil, err
+	}
+	home := w.at(firstTask(id))
+	time.Sleep(time.Until(confirmed.Add(3 * time.Second)))
+	if w.trouble {
+		home.shut()
+		w.rec.logf("%s crashes", home.id)
+		time.Sleep(time.Second)
+		if err := home.start(); err != nil {
+			return nil, err
+		}
+	}
+	time.Sleep(10 * time.Second)
+	w.call(acme, "GET", batchPath+id, "")
+	return w.rec.judgeTwice(), nil
+}
+
+// rackGang submits a gang for one rack while each rack has room for a part of it only.
+func rackGang(w *world) (verdict, error) {
+	gang := jobID(9)
+	w.gangs.size = func(task string) int {
+		if task[:len(gang)] == gang {
+			return 3
+		}
+		return 0
+	}
+	if err := w.start(3, elevenExecutors, whole, lastsBut(gang, 11*time.Second)); err != nil {
+		return nil, err
+	}
+	time.Sleep(3 * time.Second)
+	if w.trouble {
+		for i, rack := range []string{"r1", "r2", "r3"} {
+			step := map[string]any{"count": 1, "cpu": 60000, "mem_mb": 100000, "gpu": 8, "estimate_ms": 11000, "constraints": rack, "long_running": true}
+			if err := w.submit(birch, batchPath, jobID(i), step); err != nil {
+				return nil, err
+			}
+		}
+		if err := w.await(10*time.Second, "the lasting subtasks to start", func() bool { return len(w.rec.allRuns()) == 3 }); err != nil {
+			return nil, err
+		}
+	}
+	step := map[string]any{"count": 3, "cpu": 52000, "mem_mb": 75000, "gpu": 8, "estimate_ms": 11000, "gang": true, "same_rack": true}
+	if err := w.submit(acme, batchPath, gang, step); err != nil {
+		return nil, err
+	}
+	confirmed := time.Now()
+	begun := func() bool { return len(w.rec.runsOf(firstTask(gang))) > 0 }
+	err := w.await(40*time.Second, "the gang to start", begun)
+	waited := time.Since(confirmed).Round(time.Millisecond)
+	w.call(acme, "GET", batchPath+gang, "")
+	if err != nil || waited > finishBound {
+		return verdict{fmt.Sprintf("LOST: gang %s was confirmed at %s, and nothing of it had run %s later, with 8 of 11 executors empty", gang, w.rec.at(confirmed), waited)}, nil
+	}
+	return nil, nil
+}
+
 // foreignPing sends one ping of another writer, with a service that no configuration names, to a
 // side whose executor is at work.
 func foreignPing(w *world) (verdict, error) {
--- a/review/rig/executor.go
+++ b/review/rig/executor.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"sync"
 	"time"
 )
@@ -38,6 +39,8 @@
 	// runTime returns how long a run of a subtask takes; 0 if it runs until it is stopped.
 	runTime func(task string) time.Duration
 	gangs   *gangs
+	// delays, if set, reports whether an order gets no answer and is carried out that much later.
+	delays func(path string, o order) time.Duration
 	// faulty makes all that is started fail as soon as it begins to work.
 	faulty bool
 
@@ -80,7 +83,10 @@
 	if err != nil {
 		return err
 	}
-	e.born, e.state = time.Now(), "ready"
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	// A new lifetime knows nothing of an earlier one.
+	e.born, e.state, e.seq, e.fence, e.inForce, e.ends, e.lastEnd = time.Now(), "ready", 0, 0, false, nil, 0
 	e.running, e.highest, e.changed = make(map[string]*execRun), make(map[string]int), make(chan struct{})
 	e.server = &http.Server{Handler: e}
 	go func() { _ = e.server.Serve(ln) }()
@@ -258,6 +264,22 @@
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
+	if e.delays != nil && r.URL.Path != "/v1/hold" {
+		if late := e.delays(r.URL.Path, o); late > 0 {
+			e.rec.logf("%s leaves %s of %s run %d unanswered", e.id, r.URL.Path, o.Task, o.Run)
+			time.AfterFunc(late, func() {
+				e.rec.logf("%s carries out %s of %s run %d, %s late", e.id, r.URL.Path, o.Task, o.Run, late)
+				e.carryOut(httptest.NewRecorder(), r.URL.Path, r.WithContext(context.Background()), o)
+			})
+			<-r.Context().Done()
+			return
+		}
+	}
+	e.carryOut(w, r.URL.Path, r, o)
+}
+
+// carryOut carries out a call and answers it.
+func (e *executor) carryOut(w http.ResponseWriter, path string, r *http.Request, o order) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if o.Fence < e.fence {
@@ -270,7 +292,7 @@
 		e.leaseEnd = max(e.leaseEnd, min(time.Duration(o.Until)*time.Millisecond, e.clock()+holdMax))
 		e.inForce = true
 	}
-	switch r.URL.Path {
+	switch path {
 	case "/v1/run-start":
 		e.startRun(w, o, late)
 	case "/v1/run-stop":
--- a/review/rig/main.go
+++ b/review/rig/main.go
@@ -35,6 +35,8 @@
 	"apart":        apart,
 	"faulty-gang":  faultyGang,
 	"foreign-ping": foreignPing,
+	"late-stop":    lateStop,
+	"rack-gang":    rackGang,
 	"many-ends":    manyEnds,
 	"headroom":     headroom,
 	"lost-rack":    lostRack,
