--- a/review/rig/executor.go
+++ b/review/rig/executor.go
@@ -374,6 +374,7 @@
 // stopRun begins the stop of a run. The caller holds mu.
 func (e *executor) stopRun(o order) {
 	e.highest[o.Task] = max(e.highest[o.Task], o.Run)
+	e.rec.logf("%s is told to stop %s run %d", e.id, o.Task, o.Run)
 	r := e.running[o.Task]
 	if r == nil || r.run > o.Run {
 		return
--- a/review/rig/main.go
+++ b/review/rig/main.go
@@ -11,7 +11,9 @@
 import (
 	"fmt"
 	"os"
+	"os/signal"
 	"path/filepath"
+	"syscall"
 	"time"
 )
 
@@ -28,7 +30,7 @@
 // verdict is the result of a case: descriptions of the violations, none if the rule held.
 type verdict []string
 
-// cases are the cases by name.
+// cases are the cases by name: those of the folders, and more that the report describes.
 var cases = map[string]func(w *world) (verdict, error){
 	"reclaim":      reclaim,
 	"large-job":    largeJob,
@@ -61,11 +63,18 @@
 	w := &world{rec: rec, trouble: os.Getenv("TROUBLE") != "0"}
 	w.gangs.size = func(string) int { return 0 }
 	rec.logf("case=%s trouble=%t", name, w.trouble)
-	// A case that hangs must not leave processes behind.
-	watchdog := time.AfterFunc(playLimit, func() {
+	// A case that hangs or is interrupted must not leave processes behind.
+	abort := func() {
 		w.close()
 		os.Exit(exitNotRun)
-	})
+	}
+	watchdog := time.AfterFunc(playLimit, abort)
+	interrupted := make(chan os.Signal, 1)
+	signal.Notify(interrupted, os.Interrupt, syscall.SIGTERM)
+	go func() {
+		<-interrupted
+		abort()
+	}()
 	broken, err := cases[name](w)
 	watchdog.Stop()
 	w.close()
--- a/review/rig/world.go
+++ b/review/rig/world.go
@@ -293,7 +293,7 @@
 		client := http.Client{Timeout: 3 * time.Second}
 		resp, err := client.Do(req)
 		if err != nil {
-			w.rec.logf("client: %s %s at %s: no answer", method, path, w.fronts[i].name)
+			w.rec.logf("client: %s %s %s at %s: no answer", method, path, body, w.fronts[i].name)
 			continue
 		}
 		raw, err := io.ReadAll(resp.Body)
@@ -301,7 +301,7 @@
 		if err != nil {
 			continue
 		}
-		w.rec.logf("client: %s %s at %s: %d %s", method, path, w.fronts[i].name, resp.StatusCode, raw)
+		w.rec.logf("client: %s %s %s at %s: %d %s", method, path, body, w.fronts[i].name, resp.StatusCode, raw)
 		return resp.StatusCode, string(raw)
 	}
 	return 0, ""
