--- a/review/rig/cases.go
+++ b/review/rig/cases.go
@@ -438,6 +438,41 @@
 	return nil, nil
 }
 
+// movedQueue sends a queue to another service and takes the last executor of the old one away, while
+// a job of that queue has not ended.
+func movedQueue(w *world) (verdict, error) {
+	const length = 12 * time.Second
+	w.pooled = func(i int) bool { return i > 0 }
+	if err := w.start(3, elevenExecutors, whole, func(string) time.Duration { return length }); err != nil {
+		return nil, err
+	}
+	time.Sleep(3 * time.Second)
+	id := jobID(1)
+	step := map[string]any{"count": 4, "cpu": 52000, "mem_mb": 75000, "gpu": 4, "estimate_ms": length.Milliseconds()}
+	if err := w.submit(acme, batchPath, id, step); err != nil {
+		return nil, err
+	}
+	if err := w.await(5*time.Second, "the first subtasks to start", func() bool { return len(w.rec.allRuns()) == 2 }); err != nil {
+		return nil, err
+	}
+	last := w.executors[0]
+	if w.trouble {
+		if err := w.configure(9, pool); err != nil {
+			return nil, err
+		}
+		w.rec.logf("version 9 sends the queue to the service %s", pool)
+		time.Sleep(5 * time.Second)
+		last.leave(4 * time.Second)
+	}
+	time.Sleep(40 * time.Second)
+	_, answer := w.call(acme, "GET", batchPath+id, "")
+	if answer == `{"state":"completed"}` {
+		return nil, nil
+	}
+	runs := w.rec.allRuns()
+	return verdict{fmt.Sprintf("LOST: job %s is %s; %d runs, the last one ended at %s", id, answer, len(runs), w.rec.at(runs[len(runs)-1].end))}, nil
+}
+
 // foreignPing sends one ping of another writer, with a service that no configuration names, to a
 // side whose executor is at work.
 func foreignPing(w *world) (verdict, error) {
--- a/review/rig/main.go
+++ b/review/rig/main.go
@@ -37,6 +37,7 @@
 	"apart":        apart,
 	"faulty-gang":  faultyGang,
 	"foreign-ping": foreignPing,
+	"moved-queue":  movedQueue,
 	"late-stop":    lateStop,
 	"rack-gang":    rackGang,
 	"many-ends":    manyEnds,
--- a/review/rig/world.go
+++ b/review/rig/world.go
@@ -21,7 +21,8 @@
 
 // Names in the configuration of the deployment.
 const (
-	service   = "studio"
+	studio    = "studio"   // the service of the queues
+	pool      = "studio-2" // a second service, if a case has one
 	host      = "jobs.example"
 	configKey = "op/config"
 	// maxAttempts is how often a subtask, or a gang, may fail.
@@ -66,6 +67,7 @@
 	sides     []*process
 	executors []*executor
 	gangs     gangs
+	pooled    func(i int) bool // whether an executor belongs to the second service
 }
 
 // process is one front or side.
@@ -114,7 +116,7 @@
 		}
 	}
 	for i, rack := range racks {
-		e := &executor{id: fmt.Sprintf("i-%d", i), service: service, rack: rack, room: room, addr: w.sides[i].app, control: w.sides[i].addr, rec: w.rec, runTime: runTime, gangs: &w.gangs}
+		e := &executor{id: fmt.Sprintf("i-%d", i), service: w.serviceOf(i), rack: rack, room: room, addr: w.sides[i].app, control: w.sides[i].addr, rec: w.rec, runTime: runTime, gangs: &w.gangs}
 		if err := e.start(); err != nil {
 			return err
 		}
@@ -125,6 +127,14 @@
 	})
 }
 
+// serviceOf returns the service of an executor.
+func (w *world) serviceOf(i int) string {
+	if w.pooled != nil && w.pooled(i) {
+		return pool
+	}
+	return studio
+}
+
 func (w *world) processes() []*process { return append(slices.Clone(w.fronts), w.sides...) }
 
 func (w *world) startStore() error {
@@ -136,16 +146,25 @@
 	w.storeAddr = ln.Addr().String()
 	w.server = &http.Server{Handler: w.store}
 	go func() { _ = w.server.Serve(ln) }()
+	return w.configure(7, studio)
+}
+
+// configure writes a version of the configuration that sends all queues to a service.
+func (w *world) configure(version int, service string) error {
 	route := func(name, prefix string, priority int, stretch float64, target int) map[string]any {
 		return map[string]any{"name": name, "host": host, "prefix": prefix, "kind": "unsafe", "timeout_ms": 3000, "target_latency_ms": target, "priority": priority, "service": service, "max_attempts": maxAttempts, "stretch": stretch}
 	}
+	var services []any
+	for _, name := range []string{studio, pool} {
+		services = append(services, map[string]any{"name": name, "rejects_overload": false, "standby": false})
+	}
 	var tenants []any
 	for _, t := range []tenant{acme, birch} {
 		tenants = append(tenants, map[string]any{"name": t.name, "api_keys": []string{t.key}, "guaranteed": map[string]int{"gpu": t.guaranteed}})
 	}
 	raw, err := json.Marshal(map[string]any{
-		"version": 7, "routes": []any{route("urgent", urgentPath, 0, 1.5, 250), route("batch", batchPath, 2, 3, 3000)},
-		"services": []any{map[string]any{"name": service, "rejects_overload": false, "standby": false}},
+		"version": version, "routes": []any{route("urgent", urgentPath, 0, 1.5, 250), route("batch", batchPath, 2, 3, 3000)},
+		"services": services,
 		"tenants":  tenants,
 	})
 	if err != nil {
@@ -196,7 +215,7 @@
 	raw, err := json.Marshal(map[string]any{
 		"node_name": p.name, "role": p.role, "machine_class": p.role, "serves": []string{p.role}, "ip": p.ip, "zone": "z1", "region": "r",
 		"zones": map[string]string{"z1": "r"}, "listen_addrs": listen, "port_range": []int{w.link, w.link}, "seeds": seeds, "bootstrap": true,
-		"limits": map[string]int{"memory_mb": memory}, "heartbeat_ms": 1500, "orders": "call", "app": p.app, "service": service,
+		"limits": map[string]int{"memory_mb": memory}, "heartbeat_ms": 1500, "orders": "call", "app": p.app,
 		"bounds": map[string]any{
 			"contact_ms": 3000, "ack_ms": 4000, "drain_ms": 2000, "grace_s": 6, "config_apply_ms": 2000, "max_skew_ms": 5000, "hold_max_ms": holdMax.Milliseconds(),
 			"stop_ms": 900, "gang_timeout_ms": 3000, "cancel_ms": 3000, "visible_ms": 3000, "early_ms": 250, "finish_s": 14, "status_s": 120, "far_x": 3, "reclaim_ms": 3400,
