--- a/core/plan/job.go
+++ b/core/plan/job.go
@@ -38,6 +38,20 @@
 	startedAt     clock.Millis // when the current run was ordered, 0 if none
 }
 
+// countFailure counts a run in which a member failed. The members share the count, and their
+// records keep it together with the run that was counted last: the other members of that run may
+// be listed as failed later, to another planner.
+func (g *gang) countFailure(run int) {
+	if run <= g.lastFailedRun {
+		return
+	}
+	g.lastFailedRun = run
+	g.failedRuns++
+	for _, m := range g.members {
+		m.failures = g.failedRuns
+	}
+}
+
 func (p *Planner) addJob(m JobMsg) {
 	if _, known := p.jobs[m.Job.ID]; known {
 		return
@@ -107,6 +121,7 @@
 		u.run, u.failures, u.endedRun, u.checkpoint, u.done = m.Run, m.Failures, m.AppliedRun, m.Checkpoint, m.Done
 		if u.gang != nil {
 			u.gang.failedRuns = max(u.gang.failedRuns, m.Failures)
+			u.gang.lastFailedRun = max(u.gang.lastFailedRun, m.FailedRun)
 		}
 		if m.Endpoint.ID != "" {
 			w := p.workers[m.Endpoint]
@@ -224,6 +239,9 @@
 			Occurrence: u.name.Occurrence, Step: u.name.Step, Index: u.name.Index,
 			Run: u.run, Failures: u.failures, AppliedRun: u.endedRun, Checkpoint: u.checkpoint, Done: u.done, Crashes: u.crashes,
 		}
+		if u.gang != nil {
+			m.FailedRun = u.gang.lastFailedRun
+		}
 		if u.placedOn != nil {
 			m.Endpoint, m.Node = u.placedOn.incarnation, u.placedOn.node
 		}
--- a/core/plan/lists.go
+++ b/core/plan/lists.go
@@ -1,6 +1,7 @@
 package plan
 
 import (
+	"fmt"
 	"sort"
 
 	"gypsumcrank/core/task"
@@ -148,7 +149,8 @@
 	p.checkCompleted(u.job)
 }
 
-// countFailure counts a failed run and ends the job after too many.
+// countFailure counts a failed run, for a gang once however many members failed in it, and
+// ends the job after too many.
 func (p *Planner) countFailure(u *unit) {
 	j := u.job
 	if u.done || j.state.Ended() {
@@ -158,19 +160,13 @@
 		p.stopGangPeers(u)
 		return
 	}
-	u.failures++
-	failures := u.failures
-	if u.gang != nil {
-		if u.gang.lastFailedRun < u.run {
-			u.gang.lastFailedRun = u.run
-			u.gang.failedRuns++
-		}
-		failures = max(failures, u.gang.failedRuns)
-		for _, m := range u.gang.members {
-			m.failures = failures // so that the record counts failed runs of the gang
-		}
+	if u.gang == nil {
+		u.failures++
+	} else {
+		u.gang.countFailure(u.run)
 	}
-	if j.Attempts > 0 && failures >= j.Attempts {
+	p.emit(Event{Kind: "failure_counted", Job: j.ID, Task: u.fullName, Run: u.run, Detail: fmt.Sprintf("failures=%d attempts=%d gang=%t", u.failures, j.Attempts, u.gang != nil)})
+	if j.Attempts > 0 && u.failures >= j.Attempts {
 		p.endJob(j, task.Failed, "task "+u.fullName+" failed too often")
 		return
 	}
--- a/core/plan/lists_test.go
+++ b/core/plan/lists_test.go
@@ -8,6 +8,7 @@
 	"gypsumcrank/core/clock"
 	"gypsumcrank/core/plan"
 	"gypsumcrank/core/route"
+	"gypsumcrank/core/task"
 )
 
 // A job that is due for removal while an earlier write of its record is in flight
@@ -99,3 +100,56 @@
 	f.finish(4000)
 	qt.Check(t, f.records["a"].Tasks[0].Run, qt.Equals, 1)
 }
+
+// Guards against a gang being given up after fewer failed runs than it may have: two members that
+// failed in the same run counted as two failed runs, also when the planner changed between their ends.
+func TestMembersThatFailInOneRunCountOnce(t *testing.T) {
+	for _, test := range []struct {
+		name        string
+		apart       bool // the second end is listed after the first was recorded
+		takeover    bool // another planner reads the record in between
+		attempts    int
+		runsAllowed int
+	}{
+		{"in one report", false, false, 2, 2},
+		{"one after the other", true, false, 2, 2},
+		{"planner replaced in between", true, true, 2, 2},
+		{"three attempts", true, true, 3, 3},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			c := qt.New(t)
+			f := newFleet(t, 8, 3, workerResources)
+			g := gangOfTwo("g")
+			g.Attempts = test.attempts
+			f.submit(g)
+			for run := 1; run <= test.runsAllowed; run++ {
+				f.waitForGang(60_000)
+				c.Assert(f.records["g"].Tasks[0].Run, qt.Equals, run)
+				f.run(1000)
+				var members []*host
+				for _, h := range f.hosts {
+					if len(h.runs) > 0 {
+						members = append(members, h)
+					}
+				}
+				second := members[1]
+				second.partitioned = test.apart
+				for _, h := range members {
+					h.end(h.names()[0], plan.EndFailed)
+				}
+				if test.apart {
+					f.run(300)
+					if test.takeover {
+						f.takeOver()
+						f.run(300)
+					}
+					second.partitioned = false
+					f.connect(second)
+				}
+				f.run(300)
+				c.Assert(f.records["g"].State.Ended(), qt.Equals, run == test.runsAllowed, qt.Commentf("run %d", run))
+			}
+			c.Check(f.records["g"].State, qt.Equals, task.Failed)
+		})
+	}
+}
--- a/core/task/progress.go
+++ b/core/task/progress.go
@@ -37,9 +37,11 @@
 	Endpoint   Incarnation `json:"at,omitzero"`    // where the run may still be active; empty if nowhere
 	Node       string      `json:"node,omitempty"` // the host of Endpoint
 	Failures   int         `json:"fails,omitempty"`
-	AppliedRun int         `json:"counted,omitempty"` // last run whose end was applied
-	Checkpoint string      `json:"ckpt,omitempty"`
-	Done       bool        `json:"done,omitempty"`
+	// FailedRun is the last run that Failures counts, for members of a gang only.
+	FailedRun  int    `json:"failed_run,omitempty"`
+	AppliedRun int    `json:"counted,omitempty"` // last run whose end was applied
+	Checkpoint string `json:"ckpt,omitempty"`
+	Done       bool   `json:"done,omitempty"`
 	// Crashes is what the crashes of workers under the task say about it.
 	Crashes crash.History `json:"crashes,omitzero"`
 }
