--- a/core/plan/check_test.go
+++ b/core/plan/check_test.go
@@ -53,6 +53,9 @@
 	if f.acknowledged[r.name.String()] && !j.Steps[r.name.Step].Service {
 		f.t.Fatalf("%d: %s starts again after it was done", f.now, r.name)
 	}
+	if !j.Steps[r.name.Step].Service {
+		f.noteStartAfterDone(r.name.String())
+	}
 	for _, before := range j.Steps[r.name.Step].After {
 		for i := range j.Steps[before].Count {
 			n := task.Name{Job: j.ID, Occurrence: r.name.Occurrence, Step: before, Index: i}
@@ -63,6 +66,24 @@
 	}
 }
 
+// listedEnd is the end of a run, as a worker lists it.
+type listedEnd struct {
+	incarnation task.Incarnation
+	number      int64
+}
+
+// noteStartAfterDone notes that a task is started after a run of it has ended as done: that end
+// must never be acknowledged.
+func (f *fleet) noteStartAfterDone(name string) {
+	for _, h := range f.hosts {
+		for _, e := range h.ends {
+			if e.Task == name && e.Kind == plan.EndDone && e.Number > h.lapsedThrough {
+				f.startedAgain[listedEnd{h.incarnation, e.Number}] = true
+			}
+		}
+	}
+}
+
 // checkCompleted fails the test if a job is recorded as completed while one of
 // its tasks has not ended done.
 func (f *fleet) checkCompleted(j *task.Job) {
--- a/core/plan/fleet_test.go
+++ b/core/plan/fleet_test.go
@@ -39,10 +39,12 @@
 	firstReportDelay func() clock.Millis
 	slowdown         func(h *host) float64 // how many times as long the worker's tasks take
 	factors          map[string]float64    // how many times as long tasks take on each host, always; nil if hosts are alike
+	endsPerList      int                   // how many ended tasks a worker lists at most; 0 if it lists all
 	oldSides         bool                  // sides don't keep what the planner has learned of their workers
 	failsAtEnd       func(r *run) bool     // whether a run that has done its work ends failed
 	completed        map[string]bool       // tasks with a run that ended done
 	acknowledged     map[string]bool       // completed tasks whose end the planner acknowledged
+	startedAgain     map[listedEnd]bool    // ends as done that were listed or yet to be when their task was started again
 	finishedAt       map[string]clock.Millis
 	checkpoints      map[string]bool // checkpoints that were listed, with the task or gang that they belong to
 	closed           centre.Current
@@ -77,7 +79,7 @@
 	f := &fleet{
 		t: t, now: 1_000_000, storeDelay: 8, jobs: map[string]*task.Job{}, cancels: map[string]bool{},
 		records: map[string]*task.Progress{}, revs: map[string]int64{}, completed: map[string]bool{}, acknowledged: map[string]bool{}, finishedAt: map[string]clock.Millis{}, standingSince: map[string]clock.Millis{}, checkpoints: map[string]bool{},
-		crashes: map[string]int{}, startsAfter: map[string]int{}, lostBeside: map[string]int{}, closedAt: map[string]clock.Millis{}, events: map[string]int{},
+		startedAgain: map[listedEnd]bool{}, crashes: map[string]int{}, startsAfter: map[string]int{}, lostBeside: map[string]int{}, closedAt: map[string]clock.Millis{}, events: map[string]int{},
 	}
 	f.config = (&route.Config{Version: 1, Accounts: map[string]route.Account{}}).Prepare()
 	f.duration = func(j *task.Job, step int, _ *host) clock.Millis { return j.Steps[step].Estimate }
--- a/core/plan/host_test.go
+++ b/core/plan/host_test.go
@@ -143,6 +143,9 @@
 	h.leaseUntil = max(h.leaseUntil, min(g.Until, h.clock()+maxLease))
 	for len(h.ends) > 0 && h.ends[0].Number <= g.AckedThrough {
 		if e := h.ends[0]; e.Kind == plan.EndDone && e.Number > h.lapsedThrough {
+			if f.startedAgain[listedEnd{h.incarnation, e.Number}] {
+				f.t.Fatalf("%d: the end of %s run %d on %s is acknowledged, but it was started again after that end", f.now, e.Task, e.Run, h.node)
+			}
 			f.acknowledged[e.Task] = true
 		}
 		h.ends = h.ends[1:]
@@ -320,6 +323,9 @@
 		m.Running = append(m.Running, plan.RunningTask{Task: name, Run: h.runs[name].run, Percent: f.percent(h, h.runs[name])})
 	}
 	m.Ended = append(m.Ended, h.ends...)
+	if n := f.endsPerList; n > 0 && len(m.Ended) >= n {
+		m.Ended, m.EndsCut = m.Ended[:n], true
+	}
 	planner := f.planner
 	f.schedule(networkDelay, func() {
 		if planner == f.planner && !h.partitioned && !h.down {
--- a/core/plan/lists_test.go
+++ b/core/plan/lists_test.go
@@ -153,3 +153,46 @@
 		})
 	}
 }
+
+// Guards against a second run of tasks that are done: a worker lists its ended tasks a part at a
+// time, and a run that is missing from a part was taken for one that never started or is over.
+func TestARunMissingFromAPartOfTheEndsIsNotOver(t *testing.T) {
+	for _, test := range []struct {
+		name    string
+		trouble func(f *fleet, h *host)
+	}{
+		{"in doubt after a takeover", func(f *fleet, h *host) {
+			h.partitioned = true
+			f.run(1500)
+			h.partitioned = false
+			f.takeOver()
+		}},
+		{"running behind a slow store", func(f *fleet, h *host) {
+			f.storeDelay = 1200
+			f.run(3000)
+		}},
+		{"stopping behind a slow store", func(f *fleet, h *host) {
+			f.storeDelay = 1200
+			f.run(450)
+			h.announce(200) // what the planner believes to run there is stopped
+			f.run(3000)
+		}},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			c := qt.New(t)
+			f := newFleet(t, 2, 1, workerResources)
+			f.endsPerList = 5
+			many := oneTask("a", 0)
+			many.Steps[0].Count, many.Steps[0].Need = 40, task.Resources{MilliCPU: 100, MemoryMB: 10}
+			f.submit(many)
+			f.run(1500)
+			h := f.host(f.records["a"].Tasks[0].Node)
+			c.Assert(h.runs, qt.HasLen, 40)
+			test.trouble(f, h)
+			f.finish(60_000)
+			for _, m := range f.records["a"].Tasks {
+				c.Check(m.Run, qt.Equals, 1, qt.Commentf("task %d", m.Index))
+			}
+		})
+	}
+}
--- a/core/plan/msg.go
+++ b/core/plan/msg.go
@@ -77,7 +77,10 @@
 	AnsweredOrders int64         `cbor:"12,keyasint,omitempty"` // orders answered before the lists were requested
 	Running        []RunningTask `cbor:"13,keyasint,omitempty"`
 	Ended          []EndedTask   `cbor:"14,keyasint,omitempty"`
-	DataCentre     string        `cbor:"15,keyasint,omitempty"` // empty if the side does not know it
+	// EndsCut is set if the worker may have ended more tasks than Ended lists. It lists the others
+	// once these are acknowledged.
+	EndsCut    bool   `cbor:"22,keyasint,omitempty"`
+	DataCentre string `cbor:"15,keyasint,omitempty"` // empty if the side does not know it
 	// While its worker does not answer, a side hands over what it knows of the
 	// worker's leases, and of the end of the worker's process.
 	Handover  *lease.Handover  `cbor:"18,keyasint,omitempty"`
--- a/internal/standin/plat/executor.go
+++ b/internal/standin/plat/executor.go
@@ -110,6 +110,9 @@
 	return e.lastStart
 }
 
+// maxEndsListed is how many ended tasks an executor lists at once.
+const maxEndsListed = 500
+
 // SetOnStart sets a function that is called with the names of all running tasks when
 // one starts. It must not call the executor.
 func (e *Executor) SetOnStart(f func(running []string)) {
@@ -356,5 +359,5 @@
 	for name, run := range e.runs {
 		running = append(running, []any{name, run.run, run.checkpoint(), run.percentDone(), 1})
 	}
-	e.answer(w, map[string]any{"running": running, "ended": append([][]any{}, e.ended...)})
+	e.answer(w, map[string]any{"running": running, "ended": append([][]any{}, e.ended[:min(len(e.ended), maxEndsListed)]...)})
 }
--- a/io/side/side.go
+++ b/io/side/side.go
@@ -61,6 +61,7 @@
 	Clock     clock.Millis // the worker's clock
 	Running   []plan.RunningTask
 	Ended     []plan.EndedTask
+	EndsCut   bool // there may be more ended tasks than Ended lists
 }
 
 // Worker is the worker behind the endpoint, as a side sees it.
@@ -300,7 +301,7 @@
 func (s *Side) sendReport(ctx context.Context, p holdParams, lists HoldReply) {
 	r := p.report
 	r.Epoch, r.Clock, r.AnsweredOrders = p.hold.Epoch, lists.Clock, p.answeredOrders
-	r.Running, r.Ended = lists.Running, lists.Ended
+	r.Running, r.Ended, r.EndsCut = lists.Running, lists.Ended, lists.EndsCut
 	if lists.StartedAt != 0 && lists.StartedAt != p.hold.Incarnation.StartedAt {
 		sleep(ctx, retryDelay) // the next heartbeat brings the new incarnation
 		return
