--- a/cmd/gypsumcrank/platform_test.go
+++ b/cmd/gypsumcrank/platform_test.go
@@ -49,6 +49,7 @@
 			"log":      siteCmd((*site).awaitLog),
 			"ready":    siteCmd((*site).awaitReadyStatus),
 			"taken":    siteCmd((*site).submitOnce),
+			"odd":      siteCmd((*site).sendOdd),
 		},
 		Setup: func(env *testscript.Env) error {
 			s := &site{dir: env.WorkDir, procs: make(map[string]*daemon), executors: make(map[string]*plat.Executor)}
--- a/core/plan/host_test.go
+++ b/core/plan/host_test.go
@@ -16,6 +16,8 @@
 	node               string
 	service            string
 	incarnation        task.Incarnation
+	predecessor        task.Incarnation // the one before, which the side knew
+	setBack            clock.Millis     // by how much the clock that dates its next start is behind
 	rack               string
 	centre             string // data centre
 	resources          task.Resources
@@ -62,7 +64,7 @@
 )
 
 func (h *host) baseReport() plan.ReportMsg {
-	m := plan.ReportMsg{Node: h.node, Incarnation: h.incarnation, Service: h.service, Rack: h.rack, Capacity: h.said, Largest: h.largest(), DataCentre: h.centre, SpeedPermille: h.speedPermille, SpeedWeight: h.speedWeight, EarlierStarts: h.watch.EarlierStarts(h.f.now)}
+	m := plan.ReportMsg{Node: h.node, Incarnation: h.incarnation, Service: h.service, Rack: h.rack, Capacity: h.said, Largest: h.largest(), DataCentre: h.centre, SpeedPermille: h.speedPermille, SpeedWeight: h.speedWeight, EarlierStarts: h.watch.EarlierStarts(h.f.now), Predecessor: h.predecessor}
 	if h.leavesAt > 0 {
 		m.Draining, m.Remaining = true, max(1, h.leavesAt-h.f.now)
 	}
@@ -339,12 +341,12 @@
 
 func (h *host) restartAs(id string) {
 	sameID := h.incarnation.ID == id
-	h.incarnation.ID = id
+	h.predecessor, h.incarnation.ID = h.incarnation, id
 	h.f.disturb()
 	for _, r := range h.runs {
 		h.f.countLoss(r)
 	}
-	h.incarnation.StartedAt, h.startedPartitioned, h.said = h.f.now, h.partitioned, h.resources
+	h.incarnation.StartedAt, h.startedPartitioned, h.said = h.f.now-h.setBack, h.partitioned, h.resources
 	h.sizes = nil
 	h.runs, h.lastStopped, h.ends = map[string]*run{}, map[string]int{}, nil
 	h.lastEnd, h.ackedThrough, h.lapsedThrough, h.fence, h.leaseUntil, h.answers = 0, 0, 0, 0, 0, 0
--- a/core/plan/lease_test.go
+++ b/core/plan/lease_test.go
@@ -372,3 +372,24 @@
 		h.watch.Since = f.now // its side has restarted
 	}
 }
+
+// The clock that dates the start of an incarnation may be set back between two of them. The later one
+// replaces the earlier one all the same, as its side has seen them in this order.
+func TestAnIncarnationReplacesItsPredecessorWhateverTheirClocksSay(t *testing.T) {
+	for _, id := range []string{"i-00", "i-77"} {
+		t.Run(id, func(t *testing.T) {
+			c := qt.New(t)
+			f := newFleet(t, 1, 1, workerResources)
+			h := f.hosts[0]
+			h.restart()
+			f.submit(oneTask("a", 8))
+			f.run(500)
+			c.Assert(h.runs, qt.HasLen, 1)
+			h.setBack = 2000
+			h.restartAs(id)
+			f.run(1000)
+			c.Check(h.runs, qt.HasLen, 1)
+			f.finish(4000)
+		})
+	}
+}
--- a/core/plan/msg.go
+++ b/core/plan/msg.go
@@ -79,8 +79,11 @@
 	Ended          []EndedTask   `cbor:"14,keyasint,omitempty"`
 	// EndsCut is set if the worker may have ended more tasks than Ended lists. It lists the others
 	// once these are acknowledged.
-	EndsCut    bool   `cbor:"22,keyasint,omitempty"`
-	DataCentre string `cbor:"15,keyasint,omitempty"` // empty if the side does not know it
+	EndsCut bool `cbor:"22,keyasint,omitempty"`
+	// Predecessor is the incarnation that the side knew before this one, if any. The worker has
+	// answered as this one, so its predecessor is over even if its clock says that it started later.
+	Predecessor task.Incarnation `cbor:"23,keyasint,omitzero"`
+	DataCentre  string           `cbor:"15,keyasint,omitempty"` // empty if the side does not know it
 	// While its worker does not answer, a side hands over what it knows of the
 	// worker's leases, and of the end of the worker's process.
 	Handover  *lease.Handover  `cbor:"18,keyasint,omitempty"`
--- a/core/plan/worker.go
+++ b/core/plan/worker.go
@@ -154,17 +154,21 @@
 }
 
 // resolveWorker returns the worker that a report is about. A newer incarnation
-// on the same host, or with the same ID, replaces older ones.
+// on the same host, or with the same ID, replaces older ones, and the one that its
+// side names as its predecessor.
 func (p *Planner) resolveWorker(m ReportMsg) *worker {
 	old := p.byNode[m.Node]
 	w := p.workers[m.Incarnation]
 	if w == nil {
 		w = p.newWorker(m.Incarnation)
 	}
+	if w.dead {
+		return w
+	}
 	if !w.joined || old != w {
 		w.joined = true
 		w.node, w.service, w.kind, w.rack, w.capacity, w.linked = m.Node, m.Service, m.Kind, m.Rack, m.Capacity, true
-		if old == nil || old.dead || w.incarnation.StartedAt >= old.incarnation.StartedAt {
+		if old == nil || old.dead || w.incarnation.StartedAt >= old.incarnation.StartedAt || old.incarnation == m.Predecessor {
 			p.byNode[m.Node] = w
 			p.emit(Event{Kind: "worker_joined", Worker: w.node, Detail: w.incarnation.ID})
 			p.changed = true
@@ -176,7 +180,7 @@
 	}
 	w.checkedIncarnations = p.incarnations
 	for _, o := range p.workers {
-		if o != w && !o.dead && (o.incarnation.ID == w.incarnation.ID || o.node == w.node) && o.incarnation.StartedAt < w.incarnation.StartedAt {
+		if o != w && !o.dead && (o.incarnation.ID == w.incarnation.ID || o.node == w.node) && (o.incarnation.StartedAt < w.incarnation.StartedAt || o.incarnation == m.Predecessor) {
 			p.replaceIncarnation(o, w)
 		}
 	}
--- /dev/null
+++ b/io/side/confirm_test.go
@@ -0,0 +1,155 @@
+package side
+
+import (
+	"context"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"gypsumcrank/core/fault"
+	"gypsumcrank/core/plan"
+	"gypsumcrank/core/task"
+	"gypsumcrank/io/link"
+)
+
+// reports returns the reports that the planner has got.
+func reports(planner *link.Conn) []*plan.ReportMsg {
+	var out []*plan.ReportMsg
+	for f, err := planner.Receive(100); err == nil; f, err = planner.Receive(100) {
+		out = append(out, f.Report)
+	}
+	return out
+}
+
+// Guards against a second run of work that goes on: a heartbeat of another writer, or one that names
+// a start in the future, replaced the endpoint that a side knew, and the planner took all its runs
+// for over.
+func TestAHeartbeatReplacesNoEndpointThatAnswers(t *testing.T) {
+	for _, test := range []struct {
+		name string
+		odd  task.Incarnation
+	}{
+		{"another writer", task.Incarnation{ID: "x-1", StartedAt: 900}},
+		{"another writer, far in the future", task.Incarnation{ID: "x-1", StartedAt: 1 << 52}},
+		{"the endpoint's ID, a later start", incarnation(900)},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			c := qt.New(t)
+			s, planner, _ := connected(t)
+			reports(planner)
+			s.heartbeat(Endpoint{Incarnation: test.odd, Service: "other", Seq: 1})
+			c.Check(s.endpoint.Incarnation, qt.Equals, incarnation(5))
+			c.Check(s.candidate, qt.IsNil)
+			c.Check(reports(planner), qt.HasLen, 0)
+			s.heartbeat(Endpoint{Incarnation: incarnation(5), Seq: 2, Draining: true})
+			c.Check(s.endpoint.Draining, qt.IsTrue)
+			s.begin(Endpoint{Incarnation: incarnation(6), Seq: 1})
+			c.Check(s.endpoint.Incarnation, qt.Equals, incarnation(6))
+		})
+	}
+}
+
+// Guards against a second run of work that goes on: an endpoint counted as gone at a deregistration
+// that was late, or of another writer, and was never used again.
+func TestADeregistrationEndsNoEndpointThatAnswers(t *testing.T) {
+	c := qt.New(t)
+	s, planner, _ := connected(t)
+	reports(planner)
+	start := plan.Order{Kind: plan.OrderStart, Incarnation: incarnation(5), Epoch: 3}
+	s.left(incarnation(4)) // of an earlier incarnation
+	got, _ := s.execute(context.Background(), start)
+	c.Check(got, qt.Equals, plan.Accepted)
+
+	s.left(task.Incarnation{ID: "i-1"}) // of whichever incarnation
+	got, why := s.execute(context.Background(), start)
+	c.Check(got, qt.Equals, plan.Refused)
+	c.Check(why, qt.Contains, "deregistered")
+	s.Clock.Advance(departureTimeout + 1)
+	s.confirm()
+	c.Check(reports(planner), qt.HasLen, 0)
+	got, _ = s.execute(context.Background(), start)
+	c.Check(got, qt.Equals, plan.Accepted)
+}
+
+// A deregistration is reported as soon as the worker's process is gone, whatever has come to its
+// address since, and not while that is not known.
+func TestADepartureIsReportedOnceTheProcessIsGone(t *testing.T) {
+	for _, test := range []struct {
+		name string
+		err  error
+		gone bool
+	}{
+		{"no process", ErrNoProcess, true},
+		{"another incarnation", ErrOtherIncarnation, true},
+		{"a reset connection", fault.New(fault.StoreUnavailable, "", "connection reset by peer"), false},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			c := qt.New(t)
+			s, planner, _ := connected(t)
+			w := s.Worker.(*acceptingWorker)
+			reports(planner)
+			s.left(task.Incarnation{ID: "i-1"})
+			c.Assert(reports(planner), qt.HasLen, 0) // it still answers
+			w.err = test.err
+			s.confirm()
+			got := reports(planner)
+			c.Assert(len(got) == 1 && got[0].Gone, qt.Equals, test.gone)
+			c.Check(s.endpoint == nil, qt.Equals, test.gone)
+		})
+	}
+}
+
+// A worker that does not answer yet is asked again, and forgotten when its heartbeats stop.
+func TestAnIncarnationThatDoesNotAnswerIsAskedAgain(t *testing.T) {
+	c := qt.New(t)
+	s, _, _ := connected(t)
+	w := s.Worker.(*acceptingWorker)
+	w.err = ErrNoProcess
+	s.begin(Endpoint{Incarnation: incarnation(6), Seq: 1})
+	c.Check(s.endpoint.Incarnation, qt.Equals, incarnation(5))
+	s.Clock.Advance(candidateTimeout)
+	s.confirm()
+	c.Check(s.candidate, qt.IsNotNil)
+	w.err = nil
+	s.confirm()
+	c.Check(s.endpoint.Incarnation, qt.Equals, incarnation(6))
+
+	w.err = ErrNoProcess
+	s.heartbeat(Endpoint{Incarnation: incarnation(7), Seq: 1})
+	s.Clock.Advance(candidateTimeout + 1)
+	s.confirm()
+	c.Check(s.candidate, qt.IsNil)
+	c.Check(s.endpoint.Incarnation, qt.Equals, incarnation(6))
+}
+
+// The clock that gives the start of an incarnation may be set back between two of them. Once the
+// worker has answered as another incarnation, an earlier start no longer makes a heartbeat late.
+func TestAClockSetBackHidesNoNewIncarnation(t *testing.T) {
+	c := qt.New(t)
+	s, planner, p := connected(t)
+	w := s.Worker.(*acceptingWorker)
+	next := Endpoint{Incarnation: task.Incarnation{ID: "i-2", StartedAt: 3}, Seq: 1}
+	s.begin(next)
+	c.Check(s.endpoint.Incarnation, qt.Equals, incarnation(5))
+	s.sendHandover(p, ErrOtherIncarnation)
+	reports(planner)
+	next.Seq = 2
+	s.heartbeat(next)
+	c.Check(s.endpoint.Incarnation, qt.Equals, w.there)
+	got := reports(planner)
+	c.Assert(got, qt.HasLen, 1)
+	c.Check(got[0].Predecessor, qt.Equals, incarnation(5))
+}
+
+// A heartbeat with a number that no later one reaches hides the others for a while only.
+func TestANumberThatNeverComesAgainIsDoubted(t *testing.T) {
+	c := qt.New(t)
+	s, _, _ := connected(t)
+	s.heartbeat(Endpoint{Incarnation: incarnation(5), Seq: 1 << 52})
+	s.Clock.Advance(1500)
+	s.heartbeat(Endpoint{Incarnation: incarnation(5), Seq: 3, Draining: true})
+	c.Check(s.endpoint.Draining, qt.IsFalse)
+	s.Clock.Advance(lateHeartbeat)
+	s.heartbeat(Endpoint{Incarnation: incarnation(5), Seq: 9, Draining: true})
+	c.Check(s.endpoint.Draining, qt.IsTrue)
+}
--- a/io/side/side.go
+++ b/io/side/side.go
@@ -68,8 +68,9 @@
 type Worker interface {
 	// Order carries out a start or a stop. The reason explains a refusal.
 	Order(ctx context.Context, o plan.Order) (outcome plan.Outcome, reason string)
-	// Hold returns the task lists, ErrStaleEpoch if the worker knows a newer
-	// epoch, or ErrNoProcess if its host refused the connection.
+	// Hold returns the task lists, ErrStaleEpoch if the worker knows a newer epoch,
+	// ErrOtherIncarnation if the call is meant for another one than is there, or ErrNoProcess
+	// if its host refused the connection. With ErrStaleEpoch the reply has StartedAt, if known.
 	Hold(ctx context.Context, h HoldRequest) (HoldReply, error)
 }
 
@@ -105,19 +106,23 @@
 	Log        *slog.Logger
 
 	mu             sync.Mutex
-	endpoint       *Endpoint
-	largest        task.Resources  // most of each resource that the endpoint's incarnation has said to have
-	startedAt      clock.Millis    // when this process started, on the monotonic clock
-	watch          lease.Watch     // of the endpoint's incarnation
-	handoverAt     clock.Millis    // when a handover was last sent
-	gone           bool            // the process of the endpoint's incarnation is gone
-	departed       *plan.ReportMsg // of the last incarnation that deregistered
-	conn           *link.Conn      // to the planner, or nil
-	epoch          int64           // of the planner last connected to
-	grant          plan.Grant      // the last one
-	speed          workerSpeed     // kept for the next planner
-	answeredOrders int64           // orders that the worker has answered or the side has refused
-	changed        chan struct{}   // closed by notifyChanged
+	endpoint       *Endpoint        // as the worker has confirmed
+	candidate      *Endpoint        // has announced itself and is not confirmed, or nil
+	predecessor    task.Incarnation // that the endpoint has replaced, if any
+	contradicted   bool             // another incarnation than the endpoint's is at the worker's address
+	leftAt         clock.Millis     // when the endpoint deregistered, on the monotonic clock; 0 if it has not
+	largest        task.Resources   // most of each resource that the endpoint's incarnation has said to have
+	startedAt      clock.Millis     // when this process started, on the monotonic clock
+	watch          lease.Watch      // of the endpoint's incarnation
+	handoverAt     clock.Millis     // when a handover was last sent
+	gone           bool             // the process of the endpoint's incarnation is gone
+	departed       *plan.ReportMsg  // of the last incarnation that deregistered
+	conn           *link.Conn       // to the planner, or nil
+	epoch          int64            // of the planner last connected to
+	grant          plan.Grant       // the last one
+	speed          workerSpeed      // kept for the next planner
+	answeredOrders int64            // orders that the worker has answered or the side has refused
+	changed        chan struct{}    // closed by notifyChanged
 	cancel         context.CancelFunc
 	wg             sync.WaitGroup
 }
@@ -135,8 +140,9 @@
 	s.cancel = cancel
 	s.changed = make(chan struct{})
 	s.startedAt = s.Clock.Monotonic()
-	s.wg.Add(2)
+	s.wg.Add(3)
 	go s.runLink(ctx)
+	go s.runConfirm(ctx)
 	go s.runHold(ctx)
 	return nil
 }
@@ -155,55 +161,46 @@
 	s.changed = make(chan struct{})
 }
 
-// Heartbeat records a heartbeat of the endpoint. One that is older than the last,
-// or of an incarnation that has left, is ignored.
+// Heartbeat records a heartbeat of the endpoint. One of another incarnation counts once the
+// worker has confirmed that it is there; see runConfirm.
 func (s *Side) Heartbeat(e Endpoint) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	old := s.endpoint
-	if old != nil && (e.Incarnation.StartedAt < old.Incarnation.StartedAt || e.Incarnation == old.Incarnation && e.Seq <= old.Seq) {
-		return
+	e.heardAt = s.Clock.Monotonic()
+	if s.endpoint != nil && s.endpoint.Incarnation == e.Incarnation {
+		s.refresh(e)
+	} else {
+		s.propose(e)
 	}
-	if s.departed != nil && e.Incarnation.StartedAt <= s.departed.Incarnation.StartedAt {
+}
+
+// lateHeartbeat is how long after the last heartbeat one with a lower number is ignored as late.
+// After that the last number is doubted: no other heartbeat has come since.
+const lateHeartbeat = 10 * clock.Second
+
+// refresh updates the endpoint from a later heartbeat of its incarnation. The caller holds mu.
+func (s *Side) refresh(e Endpoint) {
+	old := s.endpoint
+	if e.Seq <= old.Seq && e.heardAt-old.heardAt < lateHeartbeat {
 		return
 	}
-	if old != nil && old.Incarnation == e.Incarnation && e.CapacityUnknown {
+	if e.CapacityUnknown {
 		e.Capacity = old.Capacity
 	}
-	if old == nil || old.Incarnation != e.Incarnation {
-		s.largest = task.Resources{}
-	}
-	s.largest = s.largest.Max(e.Capacity)
-	e.heardAt = s.Clock.Monotonic()
-	s.endpoint = &e
-	if old == nil {
-		s.watch = lease.Watch{Since: s.startedAt}
-	} else if old.Incarnation != e.Incarnation {
-		s.watch = s.watch.Next(s.Clock.Monotonic(), old.Incarnation.ID == e.Incarnation.ID)
-	}
-	s.watch.Heard(s.Clock.Monotonic(), e.Draining, e.Remaining)
+	s.endpoint, s.largest = &e, s.largest.Max(e.Capacity)
+	s.watch.Heard(e.heardAt, e.Draining, e.Remaining)
 	s.gone = false
-	if old == nil || old.Incarnation != e.Incarnation || old.Draining != e.Draining || old.Capacity != e.Capacity {
-		s.Log.Info("endpoint_changed", "endpoint", e.Incarnation.ID, "born", int64(e.Incarnation.StartedAt), "draining", e.Draining, "remaining", e.Remaining, "rack", e.Rack,
-			"milli_cpu", e.Capacity.MilliCPU, "memory_mb", e.Capacity.MemoryMB, "accelerators", e.Capacity.Accelerators)
-		s.send(link.Frame{Report: s.newReport(e)})
-		s.notifyChanged()
+	if old.Draining != e.Draining || old.Capacity != e.Capacity {
+		s.announceEndpoint()
 	}
 }
 
-// EndpointLeft records that an endpoint has deregistered.
-func (s *Side) EndpointLeft(id string) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.endpoint == nil || s.endpoint.Incarnation.ID != id {
-		return
-	}
-	s.Log.Info("endpoint_left", "endpoint", id)
-	s.departed = s.newReport(*s.endpoint)
-	s.departed.Gone = true
-	s.departed.Departure = &lease.Departure{Unanswered: s.watch.Unanswered(s.Clock.Monotonic())}
-	s.endpoint = nil
-	s.send(link.Frame{Report: s.departed})
+// announceEndpoint logs and reports the endpoint after a change. The caller holds mu.
+func (s *Side) announceEndpoint() {
+	e := *s.endpoint
+	s.Log.Info("endpoint_changed", "endpoint", e.Incarnation.ID, "born", int64(e.Incarnation.StartedAt), "draining", e.Draining, "remaining", e.Remaining, "rack", e.Rack,
+		"milli_cpu", e.Capacity.MilliCPU, "memory_mb", e.Capacity.MemoryMB, "accelerators", e.Capacity.Accelerators)
+	s.send(link.Frame{Report: s.newReport(e)})
 	s.notifyChanged()
 }
 
@@ -212,7 +209,7 @@
 	r := &plan.ReportMsg{
 		Node: s.Node, Incarnation: e.Incarnation, Service: e.Service, Kind: e.Kind, Rack: e.Rack,
 		Capacity: e.Capacity, Largest: s.largest, Draining: e.Draining, Remaining: e.remainingAt(s.Clock.Monotonic()), DataCentre: s.DataCentre,
-		EarlierStarts: s.watch.EarlierStarts(s.Clock.Monotonic()),
+		EarlierStarts: s.watch.EarlierStarts(s.Clock.Monotonic()), Predecessor: s.predecessor,
 	}
 	if s.speed.kind == e.Kind {
 		r.SpeedPermille, r.SpeedWeight = s.speed.permille, s.speed.weight
@@ -303,6 +300,7 @@
 	r.Epoch, r.Clock, r.AnsweredOrders = p.hold.Epoch, lists.Clock, p.answeredOrders
 	r.Running, r.Ended, r.EndsCut = lists.Running, lists.Ended, lists.EndsCut
 	if lists.StartedAt != 0 && lists.StartedAt != p.hold.Incarnation.StartedAt {
+		s.contradict(p.hold.Incarnation)
 		sleep(ctx, retryDelay) // the next heartbeat brings the new incarnation
 		return
 	}
@@ -315,7 +313,7 @@
 	}
 	if s.endpoint != nil && s.endpoint.Incarnation == r.Incarnation {
 		s.watch.Answered(s.Clock.Monotonic(), lists.Clock)
-		s.gone = false
+		s.gone, s.contradicted = false, false
 	}
 	changed := s.changed
 	s.mu.Unlock()
@@ -352,6 +350,7 @@
 	}
 	now := s.Clock.Monotonic()
 	s.watch.Lost(now)
+	s.contradicted = s.contradicted || errors.Is(err, ErrOtherIncarnation)
 	if errors.Is(err, ErrNoProcess) {
 		s.watch.Refused(now)
 	} else {
@@ -391,7 +390,7 @@
 
 func (s *Side) execute(ctx context.Context, o plan.Order) (plan.Outcome, string) {
 	s.mu.Lock()
-	e, epoch, gone, sentAt := s.endpoint, s.epoch, s.gone, s.Clock.Monotonic()
+	e, epoch, gone, left, sentAt := s.endpoint, s.epoch, s.gone, s.leftAt > 0, s.Clock.Monotonic()
 	refusal := ""
 	switch {
 	case o.Epoch < epoch:
@@ -400,6 +399,8 @@
 		refusal = "the order is for another incarnation of the endpoint"
 	case gone:
 		refusal = "the worker's process is gone"
+	case o.Kind == plan.OrderStart && left:
+		refusal = "the endpoint has deregistered"
 	case o.Kind == plan.OrderStart && e.Draining:
 		refusal = "the endpoint is draining"
 	case o.Kind == plan.OrderStart && o.Capacity != task.Resources{} && !o.Capacity.Fits(e.Capacity):
--- a/io/side/side_test.go
+++ b/io/side/side_test.go
@@ -18,10 +18,13 @@
 	"gypsumcrank/io/link"
 )
 
-// acceptingWorker is a worker that accepts and records all orders.
+// acceptingWorker is a worker that accepts and records all orders. It answers calls that are meant
+// for the incarnation that is there.
 type acceptingWorker struct {
 	mu     sync.Mutex
 	orders []plan.Order
+	there  task.Incarnation
+	err    error // of all hold calls, if set
 }
 
 func (w *acceptingWorker) Order(_ context.Context, o plan.Order) (plan.Outcome, string) {
@@ -31,8 +34,16 @@
 	return plan.Accepted, ""
 }
 
-func (w *acceptingWorker) Hold(context.Context, HoldRequest) (HoldReply, error) {
-	return HoldReply{}, nil
+func (w *acceptingWorker) Hold(_ context.Context, h HoldRequest) (HoldReply, error) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	switch {
+	case w.err != nil:
+		return HoldReply{}, w.err
+	case h.Incarnation.ID != w.there.ID:
+		return HoldReply{}, ErrOtherIncarnation
+	}
+	return HoldReply{StartedAt: w.there.StartedAt}, nil
 }
 
 func newSide() (*Side, *acceptingWorker) {
@@ -40,6 +51,33 @@
 	return &Side{Node: "side-1", Worker: w, Log: slog.New(slog.DiscardHandler), changed: make(chan struct{})}, w
 }
 
+// heartbeat receives a heartbeat and lets the side ask its worker what follows from it.
+func (s *Side) heartbeat(e Endpoint) {
+	s.Heartbeat(e)
+	s.confirm()
+}
+
+// left receives a deregistration in the same way.
+func (s *Side) left(i task.Incarnation) {
+	s.EndpointLeft(i)
+	s.confirm()
+}
+
+// confirm asks the worker once, if there is something to ask.
+func (s *Side) confirm() {
+	if s.candidate != nil || s.leftAt > 0 {
+		ctx := context.Background()
+		c, _ := s.nextCheck(ctx)
+		s.settle(c, s.ask(ctx, c))
+	}
+}
+
+// begin makes an incarnation the one that is there, and receives its heartbeat.
+func (s *Side) begin(e Endpoint) {
+	s.Worker.(*acceptingWorker).there = e.Incarnation
+	s.heartbeat(e)
+}
+
 func incarnation(startedAt clock.Millis) task.Incarnation {
 	return task.Incarnation{ID: "i-1", StartedAt: startedAt}
 }
@@ -47,11 +85,11 @@
 func TestDrainingEndpointRefusesStart(t *testing.T) {
 	c, ctx := qt.New(t), context.Background()
 	s, w := newSide()
-	s.Heartbeat(Endpoint{Incarnation: incarnation(5), Seq: 1})
+	s.begin(Endpoint{Incarnation: incarnation(5), Seq: 1})
 	start := plan.Order{Kind: plan.OrderStart, Incarnation: incarnation(5), Epoch: 3}
 	got, _ := s.execute(ctx, start)
 	c.Check(got, qt.Equals, plan.Accepted)
-	s.Heartbeat(Endpoint{Incarnation: incarnation(5), Seq: 2, Draining: true})
+	s.heartbeat(Endpoint{Incarnation: incarnation(5), Seq: 2, Draining: true})
 	got, why := s.execute(ctx, start)
 	c.Check(got, qt.Equals, plan.Refused)
 	c.Check(why, qt.Contains, "draining")
@@ -63,7 +101,7 @@
 func TestOrdersWithStaleEpochOrIncarnationAreRefused(t *testing.T) {
 	c, ctx := qt.New(t), context.Background()
 	s, w := newSide()
-	s.Heartbeat(Endpoint{Incarnation: incarnation(5), Seq: 1})
+	s.begin(Endpoint{Incarnation: incarnation(5), Seq: 1})
 	s.epoch = 9
 	got, _ := s.execute(ctx, plan.Order{Kind: plan.OrderStart, Incarnation: incarnation(5), Epoch: 8})
 	c.Check(got, qt.Equals, plan.Refused)
@@ -74,17 +112,19 @@
 
 func TestStaleHeartbeatsAreIgnored(t *testing.T) {
 	c := qt.New(t)
-	s, _ := newSide()
-	s.Heartbeat(Endpoint{Incarnation: incarnation(5), Seq: 4, Draining: true})
-	s.Heartbeat(Endpoint{Incarnation: incarnation(5), Seq: 3})
+	s, w := newSide()
+	s.begin(Endpoint{Incarnation: incarnation(5), Seq: 4, Draining: true})
+	s.heartbeat(Endpoint{Incarnation: incarnation(5), Seq: 3})
 	c.Check(s.endpoint.Draining, qt.IsTrue)
-	s.Heartbeat(Endpoint{Incarnation: incarnation(7), Seq: 1})
-	s.Heartbeat(Endpoint{Incarnation: incarnation(5), Seq: 9})
+	s.begin(Endpoint{Incarnation: incarnation(7), Seq: 1})
+	s.heartbeat(Endpoint{Incarnation: incarnation(5), Seq: 9})
 	c.Check(s.endpoint.Incarnation, qt.Equals, incarnation(7))
-	s.EndpointLeft("i-1")
-	s.Heartbeat(Endpoint{Incarnation: incarnation(7), Seq: 2})
+	w.err = ErrNoProcess
+	s.left(task.Incarnation{ID: "i-1"})
+	w.err = nil
+	s.heartbeat(Endpoint{Incarnation: incarnation(7), Seq: 2})
 	c.Check(s.endpoint, qt.IsNil)
-	s.Heartbeat(Endpoint{Incarnation: incarnation(8), Seq: 1})
+	s.begin(Endpoint{Incarnation: incarnation(8), Seq: 1})
 	c.Check(s.endpoint.Incarnation, qt.Equals, incarnation(8))
 }
 
@@ -105,7 +145,7 @@
 	c := qt.New(t)
 	s, _ := newSide()
 	s.epoch = 9
-	s.Heartbeat(Endpoint{Incarnation: incarnation(5), Kind: "a", Seq: 1})
+	s.begin(Endpoint{Incarnation: incarnation(5), Kind: "a", Seq: 1})
 	s.applyGrant(plan.Grant{Epoch: 9, Incarnation: incarnation(5), SpeedPermille: 1670, SpeedWeight: 40})
 	s.applyGrant(plan.Grant{Epoch: 9, Incarnation: incarnation(5)})
 	next := s.newReport(Endpoint{Incarnation: incarnation(6), Kind: "a"})
@@ -131,7 +171,7 @@
 	s, _ := newSide()
 	s.Clock, s.DataCentre = clock.Manual(1000), "north"
 	e := Endpoint{Incarnation: incarnation(5), Seq: 1, Draining: true, Remaining: 1600}
-	s.Heartbeat(e)
+	s.begin(e)
 	c.Check(s.newReport(*s.endpoint).Remaining, qt.Equals, clock.Millis(1600))
 	c.Check(s.newReport(*s.endpoint).DataCentre, qt.Equals, "north")
 	s.Clock.Advance(1200)
@@ -139,7 +179,7 @@
 	s.Clock.Advance(1200)
 	c.Check(s.newReport(*s.endpoint).Remaining, qt.Equals, clock.Millis(1))
 	e.Seq, e.Remaining = 2, 0
-	s.Heartbeat(e)
+	s.heartbeat(e)
 	c.Check(s.newReport(*s.endpoint).Remaining, qt.Equals, clock.Millis(0))
 }
 
@@ -149,7 +189,7 @@
 	s, _ := newSide()
 	s.Clock = clock.Manual(1_000_000)
 	s.startedAt = s.Clock.Monotonic() - clock.Minute
-	s.Heartbeat(Endpoint{Incarnation: incarnation(5), Seq: 1})
+	s.begin(Endpoint{Incarnation: incarnation(5), Seq: 1})
 	here, there := net.Pipe()
 	conn, planner := link.New(here), link.New(there)
 	t.Cleanup(conn.Close)
@@ -188,7 +228,7 @@
 	c, ctx := qt.New(t), context.Background()
 	s, planner, p := connected(t)
 	s.fail(p, ErrNoProcess, 3000) // not announced
-	s.Heartbeat(Endpoint{Incarnation: incarnation(5), Seq: 2, Draining: true, Remaining: 1500})
+	s.begin(Endpoint{Incarnation: incarnation(5), Seq: 2, Draining: true, Remaining: 1500})
 	s.fail(p, ErrNoProcess, 1500) // it had this much time left
 	_, gone := departures(planner)
 	c.Check(gone, qt.Equals, 0)
@@ -198,14 +238,14 @@
 	got, why := s.execute(ctx, plan.Order{Kind: plan.OrderStop, Incarnation: incarnation(5), Epoch: 3})
 	c.Check(got, qt.Equals, plan.Refused)
 	c.Check(why, qt.Contains, "gone")
-	s.Heartbeat(Endpoint{Incarnation: incarnation(6), Seq: 1})
+	s.begin(Endpoint{Incarnation: incarnation(6), Seq: 1})
 	got, _ = s.execute(ctx, plan.Order{Kind: plan.OrderStop, Incarnation: incarnation(6), Epoch: 3})
 	c.Check(got, qt.Equals, plan.Accepted)
 }
 
 func TestSideProvesNothingFromResetsAndTimeouts(t *testing.T) {
 	s, planner, p := connected(t)
-	s.Heartbeat(Endpoint{Incarnation: incarnation(5), Seq: 2, Draining: true})
+	s.begin(Endpoint{Incarnation: incarnation(5), Seq: 2, Draining: true})
 	s.fail(p, fault.New(fault.StoreUnavailable, "", "connection reset by peer"), 5000)
 	reports, gone := departures(planner)
 	qt.Check(t, reports >= 5, qt.IsTrue)
@@ -253,11 +293,11 @@
 	c, ctx := qt.New(t), context.Background()
 	s, planner, _ := connected(t)
 	large, small := task.Resources{MilliCPU: 128_000, Accelerators: 8}, task.Resources{MilliCPU: 64_000, Accelerators: 4}
-	s.Heartbeat(Endpoint{Incarnation: incarnation(5), Seq: 2, Capacity: large})
+	s.begin(Endpoint{Incarnation: incarnation(5), Seq: 2, Capacity: large})
 	p, _ := s.nextHold(ctx)
-	s.Heartbeat(Endpoint{Incarnation: incarnation(5), Seq: 3, Capacity: small})
+	s.heartbeat(Endpoint{Incarnation: incarnation(5), Seq: 3, Capacity: small})
 	s.sendReport(canceled(), p, HoldReply{Clock: 4000})
-	s.Heartbeat(Endpoint{Incarnation: incarnation(5), Seq: 4, CapacityUnknown: true})
+	s.heartbeat(Endpoint{Incarnation: incarnation(5), Seq: 4, CapacityUnknown: true})
 	var sizes []task.Resources
 	for f, err := planner.Receive(100); err == nil; f, err = planner.Receive(100) {
 		if f.Report.Capacity != (task.Resources{}) {
