A side whose worker does not answer keeps its connection to the planner

Each time the side looked for the planner again, and orders in between were lost.

Cause: such a side reports every 0.6 s without lists, to which a planner does not reply, and a keepalive, to which it does, was sent only after 0.6 s without any frame.

Fix: a keepalive is also sent when nothing was received for 0.9 s.

--- a/io/link/link.go
+++ b/io/link/link.go
@@ -68,17 +68,19 @@
 
 // Conn sends and receives frames. Send never blocks.
 type Conn struct {
-	raw  net.Conn
-	in   *bufio.Reader
-	out  chan Frame
-	once sync.Once
-	sent atomic.Int64 // when Send was last called, in milliseconds of the monotonic clock
-	done chan struct{}
+	raw   net.Conn
+	in    *bufio.Reader
+	out   chan Frame
+	once  sync.Once
+	sent  atomic.Int64 // when Send was last called, in milliseconds of the monotonic clock
+	heard atomic.Int64 // when the last frame was received, or the connection made
+	done  chan struct{}
 }
 
 // New wraps a connection and starts its writer.
 func New(raw net.Conn) *Conn {
 	c := &Conn{raw: raw, in: bufio.NewReader(raw), out: make(chan Frame, sendQueueLen), done: make(chan struct{})}
+	c.heard.Store(int64(clock.System().Monotonic()))
 	go c.run()
 	return c
 }
@@ -110,6 +112,11 @@
 	return clock.System().Monotonic() - clock.Millis(c.sent.Load())
 }
 
+// SinceReceive returns how long ago the last frame was received, or the connection made.
+func (c *Conn) SinceReceive() clock.Millis {
+	return clock.System().Monotonic() - clock.Millis(c.heard.Load())
+}
+
 // Receive waits for the next frame, at most for the given time.
 func (c *Conn) Receive(wait clock.Millis) (Frame, error) {
 	var f Frame
@@ -128,6 +135,7 @@
 	if _, err := io.ReadFull(c.in, body); err != nil {
 		return f, err
 	}
+	c.heard.Store(int64(clock.System().Monotonic()))
 	return f, cbor.Unmarshal(body, &f)
 }
 
--- a/io/side/find.go
+++ b/io/side/find.go
@@ -32,13 +32,14 @@
 	dialTimeout  = 400 * clock.Millisecond
 	queryTimeout = 500 * clock.Millisecond
 	// plannerTimeout is how long a planner may send nothing. It replies at once to
-	// each report, of which there is about one a second while an endpoint is known
-	// (see holdWait), and to each keepalive.
+	// each report with lists, of which there is about one a second while the worker
+	// answers (see holdWait), and to each keepalive.
 	plannerTimeout = 1500 * clock.Millisecond
-	// A side that has sent nothing for keepaliveIdle sends a keepalive; it
-	// checks this every keepaliveInterval.
-	keepaliveInterval = 300 * time.Millisecond
-	keepaliveIdle     = 600 * clock.Millisecond
+	// A side that has sent nothing for keepaliveIdle, or received nothing for
+	// keepaliveUnanswered, sends a keepalive; it checks this every keepaliveInterval.
+	keepaliveInterval   = 300 * time.Millisecond
+	keepaliveIdle       = 600 * clock.Millisecond
+	keepaliveUnanswered = 900 * clock.Millisecond
 	// searchDelay is the wait before the next search after one that found no
 	// planner, or a planner that could not be connected to.
 	searchDelay = 150 * time.Millisecond
@@ -260,8 +261,8 @@
 	}
 }
 
-// runKeepalive sends a keepalive when the connection is idle, and closes the
-// connection when ctx ends.
+// runKeepalive sends a keepalive when the connection is idle or the planner has no reason to
+// reply to what is sent, and closes the connection when ctx ends.
 func (s *Side) runKeepalive(ctx context.Context, c *link.Conn) {
 	tick := time.NewTicker(keepaliveInterval)
 	defer tick.Stop()
@@ -273,7 +274,7 @@
 		case <-c.Done():
 			return
 		case <-tick.C:
-			if c.SinceSend() >= keepaliveIdle {
+			if c.SinceSend() >= keepaliveIdle || c.SinceReceive() >= keepaliveUnanswered {
 				c.Send(link.Frame{Hello: &link.Hello{Node: s.Node}})
 			}
 		}
