--- a/io/steer/term.go
+++ b/io/steer/term.go
@@ -66,9 +66,9 @@
 	t.ended = make(chan string, 1)
 	t.loop = &kern.Loop{Model: t}
 	t.loop.Start()
-	s.setTerm(t)
 	t.loop.Send(s.storedSpeeds())
 	unlisten := s.Index.Listen(t.send)
+	s.setTerm(t) // sides may connect: the end of a job that is not known yet would be acknowledged
 	renewing, stop := context.WithCancel(ctx)
 	go t.runRenew(renewing)
 	go t.runTick(renewing)
--- a/io/steer/term_test.go
+++ b/io/steer/term_test.go
@@ -2,9 +2,11 @@
 
 import (
 	"bytes"
+	"context"
 	"fmt"
 	"log/slog"
 	"net"
+	"runtime"
 	"testing"
 
 	qt "github.com/frankban/quicktest"
@@ -13,8 +15,10 @@
 	"gypsumcrank/core/plan"
 	"gypsumcrank/core/route"
 	"gypsumcrank/core/task"
+	"gypsumcrank/io/front"
 	"gypsumcrank/io/link"
 	"gypsumcrank/io/mirror"
+	"gypsumcrank/io/store"
 )
 
 // termOnSide returns a term with one worker that waits for work, the side's end of
@@ -89,3 +93,40 @@
 		c.Check(log.String(), qt.Contains, fmt.Sprintf("version %d", version))
 	}
 }
+
+// Guards against a second run of tasks that are done: a side that connected to a new planner before it
+// had all jobs listed ends of jobs that it didn't know yet, which were acknowledged and forgotten.
+func TestSidesFindAPlannerOnceItHasAllJobs(t *testing.T) {
+	c := qt.New(t)
+	const jobs = 6000 // more than may wait for the planner
+	index := &front.Index{Log: slog.New(slog.DiscardHandler)}
+	report := plan.ReportMsg{Node: "side-1", Incarnation: task.Incarnation{ID: "i-1", StartedAt: 1}, Epoch: 7, Clock: 500}
+	var changes []store.Change
+	for i := range jobs {
+		job := oneTaskJob(fmt.Sprintf("%016x", i)).Job
+		raw, err := task.Encode(job)
+		c.Assert(err, qt.IsNil)
+		changes = append(changes, store.Change{KV: store.KV{Key: store.JobKey(job.ID), Value: raw, Rev: 1}})
+		report.Ended = append(report.Ended, plan.EndedTask{Number: int64(i + 1), Task: job.ID + ".0.0.0", Run: 1, Kind: plan.EndDone})
+	}
+	index.Apply(changes)
+	var log bytes.Buffer
+	clk := clock.Manual(1_000_000)
+	coord := &Coordinator{Clock: clk, Mirror: &mirror.Mirror{}, Config: &route.Current{}, Index: index, Log: slog.New(slog.NewTextHandler(&log, nil))}
+	tm := &term{coord: coord, epoch: 7, leaseTTL: 1500, leaseValidUntil: clk.Boottime() + clock.Minute}
+	ctx, cancel := context.WithCancel(context.Background())
+	served := make(chan struct{})
+	go func() {
+		defer close(served)
+		tm.serve(ctx)
+	}()
+	for coord.currentTerm() == nil {
+		runtime.Gosched()
+	}
+	c.Assert(tm.loop.Send(report), qt.IsTrue)
+	c.Assert(tm.loop.Do(func() {}), qt.IsTrue)
+	cancel()
+	<-served
+	c.Check(bytes.Count(log.Bytes(), []byte("msg=end_unknown")), qt.Equals, 0)
+	c.Check(bytes.Count(log.Bytes(), []byte("msg=job_taken")), qt.Equals, jobs)
+}
