Odd entries and numbers end no process and hide no others

Other operators' report: one odd entry of another writer made the processes that read it end again and again. Looked for in everything that another writer can reach.

Cause: numbers were checked after something had been computed from them, and an entry that could not be read was left out in part. Now they are checked where an entry is read, and what can't be read whole isn't used.

--- a/cmd/gypsumcrank/heartbeats_test.go
+++ b/cmd/gypsumcrank/odd_test.go
@@ -4,8 +4,11 @@
 	"fmt"
 	"math"
 	"net/http"
+	"os"
 	"strings"
 	"time"
+
+	"gypsumcrank/io/store"
 )
 
 // sendOdd sends a message that no executor has sent to the control address of each side, and to
@@ -52,3 +55,32 @@
 	}
 	return nil
 }
+
+// storeOdd leaves entries of another writer among those of the fronts and of the jobs, and under the
+// operator's prefix.
+func (s *site) storeOdd([]string) error {
+	nested := strings.Repeat("[", 100_000) + strings.Repeat("]", 100_000)
+	for i, value := range []string{
+		nested, `{"id":"%s","steps":[{"count":9223372036854775807}],"marks":[{"k":9223372036854775807,"run":1}]}`, `{"marks":[{"run":1e400}]}`,
+		"127.0.0.1:99999", "127.0.0.1", "\x00\xff", "",
+	} {
+		id := fmt.Sprintf("%016x", 0xf0+i)
+		for _, key := range []string{store.FrontKey(id), store.JobKey(id), store.ProgressKey(id), store.CancelKey(id), "op/" + id} {
+			s.store.Put(key, []byte(strings.ReplaceAll(value, "%s", id)))
+		}
+	}
+	s.store.Put(store.SpeedsKey, []byte(nested))
+	return nil
+}
+
+// checkNoneEnded checks that every process that was started still runs.
+func (s *site) checkNoneEnded([]string) error {
+	for name, d := range s.procs {
+		// The state of a process that has ended and was not waited for is Z.
+		stat, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", d.cmd.Process.Pid))
+		if err != nil || strings.Contains(string(stat), ") Z ") {
+			return fmt.Errorf("%s has ended: %v\n%s", name, err, d.out.String())
+		}
+	}
+	return nil
+}
--- a/cmd/gypsumcrank/platform_test.go
+++ b/cmd/gypsumcrank/platform_test.go
@@ -50,6 +50,8 @@
 			"ready":    siteCmd((*site).awaitReadyStatus),
 			"taken":    siteCmd((*site).submitOnce),
 			"odd":      siteCmd((*site).sendOdd),
+			"entries":  siteCmd((*site).storeOdd),
+			"running":  siteCmd((*site).checkNoneEnded),
 		},
 		Setup: func(env *testscript.Env) error {
 			s := &site{dir: env.WorkDir, procs: make(map[string]*daemon), executors: make(map[string]*plat.Executor)}
--- a/core/plan/job.go
+++ b/core/plan/job.go
@@ -109,7 +109,7 @@
 	for _, m := range marks {
 		last = max(last, m.Occurrence+1)
 	}
-	for j.dueOccurrences < last {
+	for j.dueOccurrences < min(last, j.Occurrences()) {
 		p.addOccurrence(j)
 	}
 	for _, m := range marks {
--- a/core/plan/worker.go
+++ b/core/plan/worker.go
@@ -1,6 +1,7 @@
 package plan
 
 import (
+	"maps"
 	"sort"
 
 	"gypsumcrank/core/clock"
@@ -248,8 +249,9 @@
 // acknowledgeThrough acknowledges all ends up to a number, and those after it
 // that are recorded without a gap.
 func (w *worker) acknowledgeThrough(number int64) {
-	for ; w.ackedThrough < number; w.ackedThrough++ {
-		delete(w.recordedEnds, w.ackedThrough+1)
+	if number > w.ackedThrough {
+		w.ackedThrough = number
+		maps.DeleteFunc(w.recordedEnds, func(n int64, _ bool) bool { return n <= number })
 	}
 	for w.recordedEnds[w.ackedThrough+1] {
 		w.ackedThrough++
--- a/core/task/progress.go
+++ b/core/task/progress.go
@@ -2,9 +2,11 @@
 
 import (
 	"encoding/json"
+	"slices"
 
 	"gypsumcrank/core/clock"
 	"gypsumcrank/core/crash"
+	"gypsumcrank/core/fault"
 )
 
 // State is the state of a job.
@@ -68,9 +70,28 @@
 	return j, j.Check()
 }
 
-// DecodeProgress decodes the stored progress of a job.
+// DecodeProgress decodes and checks the stored progress of a job.
 func DecodeProgress(raw []byte) (*Progress, error) {
 	p := &Progress{}
-	err := json.Unmarshal(raw, p)
-	return p, err
+	if err := json.Unmarshal(raw, p); err != nil {
+		return nil, err
+	}
+	return p, p.check()
+}
+
+// maxRuns is far more runs than a task can have.
+const maxRuns = 1 << 31
+
+// check returns an error if a number is one that no planner writes.
+func (p *Progress) check() error {
+	for _, m := range p.Tasks {
+		runs := []int{m.Run, m.Failures, m.AppliedRun, m.FailedRun}
+		switch {
+		case m.Occurrence < 0 || m.Occurrence >= MaxOccurrences || m.Step < 0 || m.Step >= MaxSteps || m.Index < 0 || m.Index >= MaxTasks:
+			return fault.New(fault.Invalid, "restore the record or delete the job", "the progress names task %d.%d.%d", m.Occurrence, m.Step, m.Index)
+		case slices.Min(runs) < 0 || slices.Max(runs) > maxRuns:
+			return fault.New(fault.Invalid, "restore the record or delete the job", "the progress of task %d.%d.%d has a number of runs out of range", m.Occurrence, m.Step, m.Index)
+		}
+	}
+	return nil
 }
--- a/core/task/task.go
+++ b/core/task/task.go
@@ -91,6 +91,9 @@
 	MaxSteps       = 256
 	MaxTasks       = 5000 // over all occurrences; their progress is one store value, which is limited to 1 MB
 	MaxOccurrences = 5000
+	maxNeed        = 1 << 40                // of one resource; sums over all workers and tasks stay in range
+	maxDuration    = 1000 * 24 * clock.Hour // of an estimate or an interval
+	maxTime        = clock.Millis(1) << 53  // since 1970
 )
 
 // Check returns an error if the job is malformed or exceeds a limit.
@@ -103,9 +106,12 @@
 	}
 	total := 0
 	for i, s := range j.Steps {
-		if s.Count < 1 || s.Need.MilliCPU < 0 || s.Need.MemoryMB < 0 || s.Need.Accelerators < 0 {
+		if s.Count < 1 || s.Count > MaxTasks || !s.Need.inRange() || s.MaxPerWorker < 0 || s.MaxAway < 0 {
 			return bad("step %d has a count or a size out of range", i)
 		}
+		if s.Estimate < 0 || s.Estimate > maxDuration || s.TailTarget < 0 || s.TailTarget > maxDuration {
+			return bad("step %d has an estimate or a target out of range", i)
+		}
 		for _, a := range s.After {
 			if a < 0 || a >= i {
 				return bad("step %d comes after step %d, which is not an earlier one", i, a)
@@ -113,12 +119,20 @@
 		}
 		total += s.Count
 	}
-	if total*j.Occurrences() > MaxTasks || j.Repeat < 0 || j.Repeat > MaxOccurrences || (j.Repeat > 1 && j.Interval <= 0) {
+	if j.Repeat < 0 || j.Repeat > MaxOccurrences || total*j.Occurrences() > MaxTasks || (j.Repeat > 1 && j.Interval <= 0) || j.Interval > maxDuration {
 		return bad("the job has %d tasks per occurrence and %d occurrences at intervals of %s, which is out of range", total, j.Repeat, j.Interval)
 	}
+	if j.First < 0 || j.First > maxTime {
+		return bad("the first occurrence is due at %d ms, which is out of range", int64(j.First))
+	}
 	return nil
 }
 
+// inRange reports whether the resources can be those of a task.
+func (r Resources) inRange() bool {
+	return min(r.MilliCPU, r.MemoryMB, r.Accelerators) >= 0 && max(r.MilliCPU, r.MemoryMB, r.Accelerators) <= maxNeed
+}
+
 // Occurrences returns how often the steps run.
 func (j *Job) Occurrences() int { return max(1, j.Repeat) }
 
--- a/core/task/task_test.go
+++ b/core/task/task_test.go
@@ -1,9 +1,12 @@
 package task
 
 import (
+	"math"
 	"testing"
 
 	qt "github.com/frankban/quicktest"
+
+	"gypsumcrank/core/fault"
 )
 
 func step(count int, after ...int) Step {
@@ -49,3 +52,35 @@
 	_, err = DecodeJob([]byte("{}"))
 	qt.Check(t, err, qt.IsNotNil)
 }
+
+// Guards against planners that end again and again: the number of tasks of a job overflowed, and a
+// job with more tasks than fit into memory was accepted. Other numbers near the largest overflow
+// where they are added to a time or to each other.
+func TestJobsWhoseNumbersOverflowAreRefused(t *testing.T) {
+	stepWith := func(change func(s *Step)) Step {
+		s := Step{Count: 1, Estimate: 1000, Need: Resources{MilliCPU: 1000, MemoryMB: 100}}
+		change(&s)
+		return s
+	}
+	const largest = math.MaxInt64
+	for _, test := range []struct {
+		name string
+		job  Job
+	}{
+		{"one count", Job{Steps: []Step{stepWith(func(s *Step) { s.Count = largest })}}},
+		{"two counts", Job{Steps: []Step{stepWith(func(s *Step) { s.Count = largest }), stepWith(func(s *Step) { s.Count = largest })}}},
+		{"count times occurrences", Job{Repeat: 2048, Interval: 1000, Steps: []Step{stepWith(func(s *Step) { s.Count = 1 << 53 })}}},
+		{"processors", Job{Steps: []Step{stepWith(func(s *Step) { s.Need.MilliCPU = largest })}}},
+		{"memory", Job{Steps: []Step{stepWith(func(s *Step) { s.Need.MemoryMB = largest })}}},
+		{"accelerators", Job{Steps: []Step{stepWith(func(s *Step) { s.Need.Accelerators = largest })}}},
+		{"estimate", Job{Steps: []Step{stepWith(func(s *Step) { s.Estimate = largest })}}},
+		{"negative estimate", Job{Steps: []Step{stepWith(func(s *Step) { s.Estimate = -1 })}}},
+		{"first", Job{Repeat: 2, Interval: 1000, First: largest, Steps: []Step{stepWith(func(*Step) {})}}},
+		{"negative first", Job{Repeat: 2, Interval: 1000, First: -1, Steps: []Step{stepWith(func(*Step) {})}}},
+		{"interval", Job{Repeat: 2, Interval: largest, Steps: []Step{stepWith(func(*Step) {})}}},
+		{"tasks a worker", Job{Steps: []Step{stepWith(func(s *Step) { s.MaxPerWorker = -1 })}}},
+	} {
+		err := test.job.Check()
+		qt.Check(t, fault.Is(err, fault.Invalid), qt.IsTrue, qt.Commentf("%s: %v", test.name, err))
+	}
+}
--- a/io/front/index.go
+++ b/io/front/index.go
@@ -7,6 +7,7 @@
 	"gypsumcrank/core/plan"
 	"gypsumcrank/core/route"
 	"gypsumcrank/core/task"
+	"gypsumcrank/io/link"
 	"gypsumcrank/io/store"
 )
 
@@ -24,11 +25,14 @@
 
 // entry is all that the store holds about one job.
 type entry struct {
-	job       *task.Job
-	progress  *task.Progress
-	rev       int64
-	cancelled bool
-	ended     chan struct{} // closed when the job has ended; nil if nobody waits
+	job      *task.Job
+	progress *task.Progress
+	rev      int64
+	// unreadable is set if the stored progress can't be read: nobody knows what runs, so no planner
+	// may take the job.
+	unreadable bool
+	cancelled  bool
+	ended      chan struct{} // closed when the job has ended; nil if nobody waits
 }
 
 func (e *entry) jobMsg() plan.JobMsg {
@@ -52,11 +56,7 @@
 		case store.ProgressKind:
 			x.applyProgress(id, c)
 		case store.FrontKind:
-			if c.Deleted {
-				delete(x.fronts, id)
-			} else {
-				x.fronts[id] = string(c.Value)
-			}
+			x.applyFront(id, c)
 		}
 	}
 }
@@ -82,7 +82,9 @@
 	}
 	e := x.entryFor(id)
 	e.job = j
-	x.notify(e.jobMsg())
+	if !e.unreadable {
+		x.notify(e.jobMsg())
+	}
 }
 
 func (x *Index) applyCancel(id string, c store.Change) {
@@ -100,16 +102,33 @@
 func (x *Index) applyProgress(id string, c store.Change) {
 	e := x.entryFor(id)
 	if c.Deleted {
-		e.progress, e.rev = nil, 0
+		e.progress, e.rev, e.unreadable = nil, 0, false
 		return
 	}
 	p, err := task.DecodeProgress(c.Value)
-	if err != nil {
+	wasUnreadable := e.unreadable
+	if e.unreadable = err != nil; e.unreadable {
 		x.Log.Error("stored_progress_unreadable", "job", id, "revision", c.Rev, "error", err)
 		return
 	}
 	e.progress, e.rev = p, c.Rev
 	e.signalEnd()
+	if wasUnreadable && e.job != nil {
+		x.notify(e.jobMsg())
+	}
+}
+
+func (x *Index) applyFront(name string, c store.Change) {
+	delete(x.fronts, name)
+	if c.Deleted {
+		return
+	}
+	addr := string(c.Value)
+	if err := link.CheckAddr(addr); err != nil {
+		x.Log.Warn("stored_front_unreadable", "front", name, "revision", c.Rev, "error", err)
+		return
+	}
+	x.fronts[name] = addr
 }
 
 func (x *Index) notify(msg any) {
@@ -127,7 +146,7 @@
 		x.listeners = make(map[int]func(msg any))
 	}
 	for _, e := range x.jobs {
-		if e.job != nil {
+		if e.job != nil && !e.unreadable {
 			f(e.jobMsg())
 		}
 	}
--- a/io/link/link.go
+++ b/io/link/link.go
@@ -10,6 +10,7 @@
 	"encoding/binary"
 	"io"
 	"net"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -95,6 +96,21 @@
 	return New(raw), nil
 }
 
+// maxAddrLen is the length of the longest address that is passed on.
+const maxAddrLen = 255
+
+// CheckAddr returns an error unless addr is a host and a port that can be dialled.
+func CheckAddr(addr string) error {
+	host, port, err := net.SplitHostPort(addr)
+	if err == nil {
+		_, err = strconv.ParseUint(port, 10, 16)
+	}
+	if err != nil || host == "" || port == "0" || len(addr) > maxAddrLen {
+		return fault.New(fault.Invalid, "give an address as host:port", "%.64q is not an address", addr)
+	}
+	return nil
+}
+
 // Send queues a frame. If a slow peer has let the queue fill, the connection is
 // closed.
 func (c *Conn) Send(f Frame) {
--- a/io/side/confirm_test.go
+++ b/io/side/confirm_test.go
@@ -153,3 +153,11 @@
 	s.heartbeat(Endpoint{Incarnation: incarnation(5), Seq: 9, Draining: true})
 	c.Check(s.endpoint.Draining, qt.IsTrue)
 }
+
+// A front's list may hold addresses that another writer has left in the store. They take no place among
+// those that are asked for the planner.
+func TestOddAddressesOfFrontsAreNotKept(t *testing.T) {
+	s, _ := newSide()
+	s.AddFronts([]string{"127.0.0.1:99999", "127.0.0.1", ":7600", "127.0.0.1:0", "", "127.0.0.1:7600"})
+	qt.Check(t, s.Fronts, qt.DeepEquals, []string{"127.0.0.1:7600"})
+}
--- a/io/side/find.go
+++ b/io/side/find.go
@@ -166,6 +166,9 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, a := range addrs {
+		if link.CheckAddr(a) != nil {
+			continue
+		}
 		known := false
 		for _, f := range s.Fronts {
 			known = known || f == a
