--- a/core/plan/barring.go
+++ b/core/plan/barring.go
@@ -1,6 +1,7 @@
 package plan
 
 import (
+	"fmt"
 	"sort"
 
 	"gypsumcrank/core/clock"
@@ -117,7 +118,19 @@
 	}
 	sort.Strings(names)
 	for _, name := range names {
-		p.effects.Orders = append(p.effects.Orders, Order{Kind: OrderStop, Node: w.node, Incarnation: w.incarnation, Task: name, Run: w.tombstones[name].run, Epoch: p.Epoch})
+		p.effects.Orders = append(p.effects.Orders, Order{Kind: OrderStop, Node: w.node, Incarnation: w.incarnation, Task: name, Run: w.tombstones[name].run, Epoch: p.Epoch, Fence: w.fence})
+	}
+}
+
+// acknowledgeAllTombstones records that a worker refuses all orders to its predecessors, as it has
+// seen a higher fencing token than theirs.
+func (p *Planner) acknowledgeAllTombstones(w *worker) {
+	for name, t := range w.tombstones {
+		if !t.acknowledged {
+			t.acknowledged = true
+			p.changed = true
+			p.emit(Event{Kind: "late_start_barred", Task: name, Worker: w.node, Run: t.run, Detail: fmt.Sprintf("fence=%d", w.fence)})
+		}
 	}
 }
 
--- a/core/plan/host_test.go
+++ b/core/plan/host_test.go
@@ -23,7 +23,8 @@
 	resources          task.Resources
 	said               task.Resources // its size in its last heartbeat
 	sizes              []size         // earlier sizes that still count
-	fence              int64
+	fence              int64          // highest fencing token that it has seen
+	granted            plan.Grant     // the last one of its side
 	leaseUntil         clock.Millis
 	runs               map[string]*run
 	lastStopped        map[string]int // highest run that was stopped or has ended, by task
@@ -75,10 +76,10 @@
 func (h *host) clock() clock.Millis { return h.f.now - h.incarnation.StartedAt }
 
 func (h *host) execute(o plan.Order) plan.Outcome {
-	if o.Epoch < h.fence {
+	if plan.Token(o.Epoch, o.Fence) < h.fence {
 		return plan.Deposed
 	}
-	h.fence = o.Epoch
+	h.fence = plan.Token(o.Epoch, o.Fence)
 	if o.Kind == plan.OrderStop {
 		h.stop(o)
 		return plan.Accepted
@@ -135,13 +136,15 @@
 
 func (f *fleet) grant(g plan.Grant) {
 	h := f.host(g.Node)
-	if h == nil || h.partitioned || h.incarnation != g.Incarnation || g.Epoch < h.fence {
+	if h == nil || h.partitioned || h.incarnation != g.Incarnation || plan.Token(g.Epoch, g.Fence) < h.fence {
 		return
 	}
+	h.granted = g
 	h.watch.PassOn(g.Until)
 	if h.down {
 		return
 	}
+	h.fence = plan.Token(g.Epoch, g.Fence) // the next call for lists carries it
 	h.leaseUntil = max(h.leaseUntil, min(g.Until, h.clock()+maxLease))
 	for len(h.ends) > 0 && h.ends[0].Number <= g.AckedThrough {
 		if e := h.ends[0]; e.Kind == plan.EndDone && e.Number > h.lapsedThrough {
@@ -314,13 +317,17 @@
 // for them.
 func (h *host) report() {
 	f := h.f
-	if f.epoch < h.fence {
+	m := h.baseReport()
+	m.Epoch = f.epoch
+	if h.granted.Incarnation == h.incarnation && h.granted.Epoch == f.epoch {
+		m.Fence = h.granted.Fence
+	}
+	if plan.Token(m.Epoch, m.Fence) < h.fence {
 		return
 	}
-	h.fence = f.epoch
+	h.fence = plan.Token(m.Epoch, m.Fence)
 	h.watch.Answered(f.now, h.clock())
-	m := h.baseReport()
-	m.Epoch, m.Clock, m.AnsweredOrders = f.epoch, h.clock(), h.answers
+	m.Clock, m.AnsweredOrders = h.clock(), h.answers
 	for _, name := range h.names() {
 		m.Running = append(m.Running, plan.RunningTask{Task: name, Run: h.runs[name].run, Percent: f.percent(h, h.runs[name])})
 	}
--- a/core/plan/lease_test.go
+++ b/core/plan/lease_test.go
@@ -321,7 +321,8 @@
 // and planners change. Orders are carried out late with odd seeds. The fleet checks
 // each start.
 func TestInvariantsHoldWhileWorkersVanish(t *testing.T) {
-	seeds := []uint64{63, 81, 83, 105} // a lease lapsed between an end and its acknowledgement
+	seeds := []uint64{63, 81, 83, 105}                              // a lease lapsed between an end and its acknowledgement
+	seeds = append(seeds, 293, 357, 367, 431, 451, 687, 1219, 1367) // late starts met the next incarnation before late stops
 	for seed := range uint64(60) {
 		seeds = append(seeds, seed)
 	}
@@ -393,3 +394,37 @@
 		})
 	}
 }
+
+// Guards against a second run of a task that is done: a start that was left unanswered is carried out
+// by the next incarnation under the same ID, before the stop that would refuse it, which is late too.
+func TestALateStartIsRefusedByTheNextIncarnation(t *testing.T) {
+	for _, takeover := range []bool{false, true} {
+		t.Run(fmt.Sprint("takeover=", takeover), func(t *testing.T) {
+			c := qt.New(t)
+			f := newFleet(t, 1, 1, workerResources)
+			delays := []clock.Millis{4500, 0, 8000} // a start, the start that is sent again, a stop
+			f.orderDelay = func() clock.Millis {
+				if len(delays) == 0 {
+					return 0
+				}
+				d := delays[0]
+				delays = delays[1:]
+				return d
+			}
+			f.submit(oneTask("a", 8))
+			f.run(4000)
+			c.Assert(f.records["a"].State, qt.Equals, task.Completed)
+			if takeover {
+				f.takeOver()
+				f.run(100)
+			}
+			h := f.hosts[0]
+			h.restart()
+			f.run(12_000)
+			c.Check(h.runs, qt.HasLen, 0)
+			c.Check(h.lastEnd, qt.Equals, int64(0))
+			f.submit(oneTask("b", 8))
+			f.finish(5000)
+		})
+	}
+}
--- a/core/plan/lists.go
+++ b/core/plan/lists.go
@@ -19,6 +19,9 @@
 	if first {
 		p.changed = true
 	}
+	if w.fence > 0 && m.Fence >= w.fence {
+		p.acknowledgeAllTombstones(w)
+	}
 	p.applyEnds(w, m.Ended)
 	p.applyRunning(w, m.Running)
 	p.observeWorker(w)
@@ -217,7 +220,7 @@
 // worker's.
 func (p *Planner) stopUnaccounted(w *worker, u *unit, r RunningTask) task.Resources {
 	p.emit(Event{Kind: "run_unaccounted", Task: r.Task, Worker: w.node, Run: r.Run})
-	p.effects.Orders = append(p.effects.Orders, Order{Kind: OrderStop, Node: w.node, Incarnation: w.incarnation, Task: r.Task, Run: r.Run, Epoch: p.Epoch})
+	p.effects.Orders = append(p.effects.Orders, Order{Kind: OrderStop, Node: w.node, Incarnation: w.incarnation, Task: r.Task, Run: r.Run, Epoch: p.Epoch, Fence: w.fence})
 	if u == nil {
 		return w.capacity
 	}
--- a/core/plan/msg.go
+++ b/core/plan/msg.go
@@ -83,7 +83,10 @@
 	// Predecessor is the incarnation that the side knew before this one, if any. The worker has
 	// answered as this one, so its predecessor is over even if its clock says that it started later.
 	Predecessor task.Incarnation `cbor:"23,keyasint,omitzero"`
-	DataCentre  string           `cbor:"15,keyasint,omitempty"` // empty if the side does not know it
+	// Fence is the fencing token above the epoch that the worker had accepted when it gave its lists,
+	// if any.
+	Fence      int64  `cbor:"24,keyasint,omitempty"`
+	DataCentre string `cbor:"15,keyasint,omitempty"` // empty if the side does not know it
 	// While its worker does not answer, a side hands over what it knows of the
 	// worker's leases, and of the end of the worker's process.
 	Handover  *lease.Handover  `cbor:"18,keyasint,omitempty"`
@@ -128,6 +131,8 @@
 	// Capacity is the size of the worker for which a start was decided. The side refuses
 	// the start if the worker has become smaller.
 	Capacity task.Resources `cbor:"9,keyasint,omitempty"`
+	// Fence is the fencing token of the order if it is above the epoch; see worker.fence.
+	Fence int64 `cbor:"10,keyasint,omitempty"`
 }
 
 // Outcome is the result of an order.
@@ -173,8 +178,14 @@
 	// What is known of the worker's speed; the side reports it to the next planner.
 	SpeedPermille int `cbor:"5,keyasint,omitempty"` // how many times as long tasks take, times 1000
 	SpeedWeight   int `cbor:"6,keyasint,omitempty"` // inverse variance of its logarithm
+	// Fence is the fencing token for calls to the worker if it is above the epoch.
+	Fence int64 `cbor:"7,keyasint,omitempty"`
 }
 
+// Token returns the fencing token of a call of an epoch, for which a planner may have set a higher
+// one.
+func Token(epoch, fence int64) int64 { return max(epoch, fence) }
+
 // Write is a set of progress records to store atomically.
 type Write struct {
 	Seq     int
--- a/core/plan/order.go
+++ b/core/plan/order.go
@@ -40,7 +40,7 @@
 	p.addUnanswered(w, u.fullName, u.run)
 	p.effects.Orders = append(p.effects.Orders, Order{
 		Kind: OrderStart, Node: w.node, Incarnation: w.incarnation, Task: u.fullName, Run: u.run,
-		Payload: u.job.Payload, Checkpoint: u.checkpoint, Until: p.leaseEnd(w), Epoch: p.Epoch, Capacity: w.capacity,
+		Payload: u.job.Payload, Checkpoint: u.checkpoint, Until: p.leaseEnd(w), Epoch: p.Epoch, Capacity: w.capacity, Fence: w.fence,
 	})
 }
 
@@ -64,7 +64,7 @@
 func (p *Planner) sendStop(u *unit) {
 	u.orderSentAt = p.now.Monotonic
 	p.effects.Orders = append(p.effects.Orders, Order{
-		Kind: OrderStop, Node: u.placedOn.node, Incarnation: u.placedOn.incarnation, Task: u.fullName, Run: u.run, Epoch: p.Epoch,
+		Kind: OrderStop, Node: u.placedOn.node, Incarnation: u.placedOn.incarnation, Task: u.fullName, Run: u.run, Epoch: p.Epoch, Fence: u.placedOn.fence,
 	})
 }
 
@@ -114,6 +114,9 @@
 
 // applyResult applies a side's answer to an order.
 func (p *Planner) applyResult(m ResultMsg) {
+	if w := p.workers[m.Incarnation]; m.Outcome == Deposed && w != nil && w.dead {
+		m.Outcome = Refused // by the fence of its successor
+	}
 	if m.Outcome == Deposed {
 		p.effects.DeposedBy = p.Epoch + 1 // the answer does not name the newer epoch
 		return
--- a/core/plan/plan.go
+++ b/core/plan/plan.go
@@ -66,6 +66,7 @@
 	lastSolved     clock.Millis              // when speeds were last inferred
 	inFlight       *inFlightWrite            // nil if none
 	seq            int                       // number of the last write
+	storeRev       int64                     // highest revision that this planner's writes were stored at
 	awaited        map[*unit]bool            // tasks whose end a reservation relies on
 	suspects       map[*unit]bool            // tasks that may crash the workers that start them
 	trialsIgnored  bool                      // placement is tried as if there were no suspects
--- a/core/plan/worker.go
+++ b/core/plan/worker.go
@@ -50,6 +50,10 @@
 	recordedEnds   map[int64]bool // numbers beyond ackedThrough that are recorded
 	appliedThrough int64          // ended runs up to this number were applied
 
+	// fence is the fencing token of all calls to the worker if it is above the epoch. A new incarnation
+	// under the same ID gets one above that of all orders to earlier ones, which it refuses once it has
+	// seen the token.
+	fence            int64
 	unanswered       map[string]*unansweredStart // start orders that it has not answered, by task
 	tombstones       map[string]*tombstone       // runs that it must refuse, by task
 	tombstonesSentAt clock.Millis                // when unacknowledged tombstones were last sent
@@ -151,6 +155,8 @@
 	}
 	if m.Epoch == p.Epoch {
 		p.applyLists(w, m)
+	} else if m.Fence < w.fence {
+		p.sendFence(w)
 	}
 }
 
@@ -197,6 +203,7 @@
 		culprits = p.judgeCrash(old)
 	}
 	if old.incarnation.ID == w.incarnation.ID {
+		w.fence = max(w.fence, p.storeRev)
 		units := old.sorted()
 		for _, u := range units {
 			p.logLoss(u, cause)
@@ -237,7 +244,17 @@
 		return
 	}
 	permille, weight := p.speedFor(w)
-	p.effects.Grants = append(p.effects.Grants, Grant{Node: w.node, Incarnation: w.incarnation, Epoch: p.Epoch, Until: p.leaseEnd(w), AckedThrough: w.ackedThrough, SpeedPermille: permille, SpeedWeight: weight})
+	p.effects.Grants = append(p.effects.Grants, Grant{Node: w.node, Incarnation: w.incarnation, Epoch: p.Epoch, Until: p.leaseEnd(w), AckedThrough: w.ackedThrough, SpeedPermille: permille, SpeedWeight: weight, Fence: w.fence})
+}
+
+// sendFence tells the worker's side which fencing token to use, and extends nothing: the worker may
+// be silent.
+func (p *Planner) sendFence(w *worker) {
+	if w.dead || !w.linked {
+		return
+	}
+	permille, weight := p.speedFor(w)
+	p.effects.Grants = append(p.effects.Grants, Grant{Node: w.node, Incarnation: w.incarnation, Epoch: p.Epoch, Until: w.grantedUntil, AckedThrough: w.ackedThrough, SpeedPermille: permille, SpeedWeight: weight, Fence: w.fence})
 }
 
 // recordEnd records that an end is in the store and advances ackedThrough.
--- a/core/plan/write.go
+++ b/core/plan/write.go
@@ -82,6 +82,7 @@
 	p.inFlight = nil
 	for _, j := range stored.jobs {
 		j.rev = m.Revs[j.ID]
+		p.storeRev = max(p.storeRev, j.rev)
 	}
 	for _, j := range stored.removed {
 		delete(p.jobs, j.ID)
--- a/io/side/confirm.go
+++ b/io/side/confirm.go
@@ -41,6 +41,8 @@
 	candidate   *Endpoint        // to be taken over if it is present; nil for a departure
 	incarnation task.Incarnation // of the candidate, or of the endpoint that has deregistered
 	epoch       int64
+	fence       int64
+	only        bool // no other endpoint is known
 }
 
 // propose keeps the heartbeat of an incarnation that is not known until the worker has confirmed
@@ -78,12 +80,12 @@
 	for ctx.Err() == nil {
 		s.mu.Lock()
 		if c := s.candidate; c != nil {
-			out := check{candidate: c, incarnation: c.Incarnation, epoch: s.epoch}
+			out := check{candidate: c, incarnation: c.Incarnation, epoch: s.epoch, only: s.endpoint == nil}
 			s.mu.Unlock()
 			return out, true
 		}
 		if s.leftAt > 0 && s.endpoint != nil {
-			out := check{incarnation: s.endpoint.Incarnation, epoch: s.epoch}
+			out := check{incarnation: s.endpoint.Incarnation, epoch: s.epoch, fence: s.fence()}
 			s.mu.Unlock()
 			return out, true
 		}
@@ -101,7 +103,7 @@
 func (s *Side) ask(ctx context.Context, c check) verdict {
 	ctx, cancel := context.WithTimeout(ctx, holdTimeout.Duration())
 	defer cancel()
-	reply, err := s.Worker.Hold(ctx, HoldRequest{Incarnation: c.incarnation, Epoch: c.epoch})
+	reply, err := s.Worker.Hold(ctx, HoldRequest{Incarnation: c.incarnation, Epoch: c.epoch, Fence: c.fence})
 	told := reply.StartedAt != 0
 	switch {
 	case errors.Is(err, ErrOtherIncarnation):
@@ -112,7 +114,7 @@
 		return unknown // a new process may not listen yet
 	case told && reply.StartedAt != c.incarnation.StartedAt:
 		return absent
-	case err != nil && !told:
+	case err != nil && !told && !c.only:
 		return unknown
 	}
 	return present
--- a/io/side/confirm_test.go
+++ b/io/side/confirm_test.go
@@ -161,3 +161,30 @@
 	s.AddFronts([]string{"127.0.0.1:99999", "127.0.0.1", ":7600", "127.0.0.1:0", "", "127.0.0.1:7600"})
 	qt.Check(t, s.Fronts, qt.DeepEquals, []string{"127.0.0.1:7600"})
 }
+
+// A planner may have set a higher fence for an incarnation than its epoch, which a side that has
+// restarted doesn't know yet. The refusal of its first call shows no newer planner.
+func TestARestartedSideWaitsForTheFence(t *testing.T) {
+	c := qt.New(t)
+	s, _, _ := connected(t)
+	s.grant = plan.Grant{}
+	s.attachedAt = s.Clock.Monotonic()
+	p, _ := s.nextHold(context.Background())
+	c.Check(p.hold.Fence, qt.Equals, int64(0))
+	s.closeIfStale(p, ErrStaleEpoch)
+	select {
+	case <-s.conn.Done():
+		c.Error("the connection to the planner was closed")
+	default:
+	}
+	s.applyGrant(plan.Grant{Incarnation: incarnation(5), Epoch: 3, Fence: 8})
+	p, _ = s.nextHold(context.Background())
+	c.Check(plan.Token(p.hold.Epoch, p.hold.Fence), qt.Equals, int64(8))
+
+	s.grant = plan.Grant{}
+	p, _ = s.nextHold(context.Background())
+	s.Clock.Advance(fenceTimeout)
+	s.closeIfStale(p, ErrStaleEpoch)
+	_, open := <-s.conn.Done()
+	c.Check(open, qt.IsFalse)
+}
--- a/io/side/find.go
+++ b/io/side/find.go
@@ -233,7 +233,7 @@
 func (s *Side) attach(c *link.Conn, epoch int64) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.conn, s.epoch = c, epoch
+	s.conn, s.epoch, s.attachedAt = c, epoch, s.Clock.Monotonic()
 	if s.departed != nil {
 		c.Send(link.Frame{Report: s.departed})
 	}
@@ -327,6 +327,10 @@
 	return s.epoch
 }
 
+// fenceTimeout is how long a side waits for the planner's first grant, which may set a higher
+// fence than the epoch, before it takes the planner for a stale one.
+const fenceTimeout = 500 * clock.Millisecond
+
 // closeIfStale closes the connection to a planner whose epoch the worker
 // refuses.
 func (s *Side) closeIfStale(p holdParams, err error) {
@@ -335,6 +339,9 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if !p.granted && s.Clock.Monotonic()-s.attachedAt < fenceTimeout {
+		return
+	}
 	if s.epoch == p.hold.Epoch && s.conn != nil {
 		s.conn.Close()
 	}
--- a/io/side/side.go
+++ b/io/side/side.go
@@ -50,6 +50,7 @@
 type HoldRequest struct {
 	Incarnation  task.Incarnation
 	Epoch        int64
+	Fence        int64        // fencing token if it is above the epoch
 	Until        clock.Millis // new end of the leases, on the worker's clock; 0 leaves them unchanged
 	AckedThrough int64
 	Wait         clock.Millis // how long the worker may wait for a task to end before it answers
@@ -118,6 +119,7 @@
 	gone           bool             // the process of the endpoint's incarnation is gone
 	departed       *plan.ReportMsg  // of the last incarnation that deregistered
 	conn           *link.Conn       // to the planner, or nil
+	attachedAt     clock.Millis     // when that connection was made, on the monotonic clock
 	epoch          int64            // of the planner last connected to
 	grant          plan.Grant       // the last one
 	speed          workerSpeed      // kept for the next planner
@@ -228,6 +230,7 @@
 // holdParams is what the next hold call and its report need.
 type holdParams struct {
 	hold           HoldRequest
+	granted        bool // the planner has said what to hold
 	answeredOrders int64
 	report         *plan.ReportMsg
 }
@@ -240,8 +243,9 @@
 		s.mu.Lock()
 		if s.endpoint != nil && s.conn != nil {
 			p := holdParams{hold: HoldRequest{Incarnation: s.endpoint.Incarnation, Epoch: s.epoch, Wait: holdWait}, answeredOrders: s.answeredOrders, report: s.newReport(*s.endpoint)}
-			if s.grant.Incarnation == s.endpoint.Incarnation && s.grant.Epoch == s.epoch {
-				p.hold.Until, p.hold.AckedThrough = s.grant.Until, s.grant.AckedThrough
+			if s.granted() {
+				p.hold.Until, p.hold.AckedThrough, p.hold.Fence = s.grant.Until, s.grant.AckedThrough, s.grant.Fence
+				p.granted = true
 				s.watch.PassOn(p.hold.Until)
 			} else {
 				p.hold.Wait = 0
@@ -259,6 +263,21 @@
 	}
 }
 
+// granted reports whether the planner has sent a grant for the endpoint's incarnation. The caller holds
+// mu.
+func (s *Side) granted() bool {
+	return s.endpoint != nil && s.grant.Incarnation == s.endpoint.Incarnation && s.grant.Epoch == s.epoch
+}
+
+// fence returns the fence that the planner has set for the endpoint's incarnation, 0 if none. The
+// caller holds mu.
+func (s *Side) fence() int64 {
+	if !s.granted() {
+		return 0
+	}
+	return s.grant.Fence
+}
+
 // runHold calls Hold in a loop and reports each answer.
 func (s *Side) runHold(ctx context.Context) {
 	defer s.wg.Done()
@@ -297,7 +316,7 @@
 // lost.
 func (s *Side) sendReport(ctx context.Context, p holdParams, lists HoldReply) {
 	r := p.report
-	r.Epoch, r.Clock, r.AnsweredOrders = p.hold.Epoch, lists.Clock, p.answeredOrders
+	r.Epoch, r.Fence, r.Clock, r.AnsweredOrders = p.hold.Epoch, p.hold.Fence, lists.Clock, p.answeredOrders
 	r.Running, r.Ended, r.EndsCut = lists.Running, lists.Ended, lists.EndsCut
 	if lists.StartedAt != 0 && lists.StartedAt != p.hold.Incarnation.StartedAt {
 		s.contradict(p.hold.Incarnation)
