--- a/core/plan/booking.go
+++ b/core/plan/booking.go
@@ -102,7 +102,7 @@
 // endsWithin reports whether a task makes progress and its predicted end lies
 // within a duration.
 func (p *Planner) endsWithin(u *unit, within clock.Millis) bool {
-	return u.phase == running && u.percent >= minPredictPercent && p.now.Monotonic-u.progressedAt < 2*clock.Second && p.remaining(u) <= within
+	return u.phase == running && !u.step.Service && u.percent >= minPredictPercent && p.now.Monotonic-u.progressedAt < 2*clock.Second && p.remaining(u) <= within
 }
 
 // evictOverdue evicts awaited tasks that should have ended by now, unless they have
--- a/core/plan/evict.go
+++ b/core/plan/evict.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"sort"
 	"strings"
 
@@ -10,8 +11,12 @@
 	"gypsumcrank/core/task"
 )
 
-// urgentLoss makes work of priority 0 the last to be evicted.
-const urgentLoss = 1e9
+// urgentLoss makes work of priority 0 the last to be evicted, and lastingLoss makes tasks that run
+// until they are cancelled the last before it.
+const (
+	urgentLoss  = 1e9
+	lastingLoss = 1e8
+)
 
 // stoppedWith returns the runs that are lost if a task is stopped: its own, or those of all
 // members of its gang.
@@ -28,6 +33,9 @@
 // evictionCost returns what it costs to stop a task, in core-milliseconds of lost work.
 func (p *Planner) evictionCost(u *unit) float64 {
 	cost := evict.Cost(p.stoppedWith(u))
+	if u.step.Service {
+		cost = lastingLoss
+	}
 	if u.job.Priority == 0 {
 		cost += urgentLoss
 	}
@@ -39,7 +47,7 @@
 func (p *Planner) lostWork(e *evictionPlan) float64 {
 	sum := 0.0
 	for v := range e.victims {
-		if v.phase == running && !v.placedOn.stalled {
+		if v.phase == running && !v.placedOn.stalled && !v.step.Service {
 			sum += evict.Loss([]evict.Run{{Ran: p.now.Monotonic - v.confirmedAt, Cores: v.step.Need.Cores(), Checkpoints: v.step.Checkpoints}})
 		}
 	}
@@ -60,9 +68,13 @@
 
 // evictable reports whether a task may be evicted for a request. A task of
 // priority 0 may be evicted only for a guaranteed request whose job has not
-// started.
+// started, and one that runs until it is cancelled only for a guaranteed one, as
+// far as its step can spare it.
 func (p *Planner) evictable(s *snapshot, r *request, u *unit) bool {
-	if s.evicted[u] || u.done || u.step.Service || u.phase == stopping || u.phase == inDoubt || u.job == r.job() {
+	if s.evicted[u] || u.done || u.phase == stopping || u.phase == inDoubt || u.job == r.job() {
+		return false
+	}
+	if u.step.Service && (!r.guaranteed || spare(u) <= 0) {
 		return false
 	}
 	if u.job.Priority > 0 {
@@ -71,6 +83,39 @@
 	return r.guaranteed && !r.job().started
 }
 
+// spare returns how many more tasks of a step that runs until it is cancelled may be stopped,
+// besides those that are away already.
+func spare(u *unit) int {
+	if u.step.MaxAway == 0 {
+		return u.step.Count
+	}
+	n := u.step.MaxAway
+	for _, o := range u.job.units {
+		if o.name.Step == u.name.Step && o.name.Occurrence == u.name.Occurrence && (o.phase != running || o.percent < fullPercent) {
+			n--
+		}
+	}
+	return n
+}
+
+// fullPercent is the progress of a task that is at work, if it runs until it is cancelled.
+const fullPercent = 100
+
+// spares reports whether the step of a task can spare it besides those that are stopped already
+// according to the plan.
+func (e *evictionPlan) spares(s *snapshot, u *unit, chosen []*unit) bool {
+	if !u.step.Service || u.step.MaxAway == 0 {
+		return true
+	}
+	n := 0
+	for _, o := range u.job.units {
+		if o.step == u.step && o.name.Occurrence == u.name.Occurrence && o.phase == running && o.percent == fullPercent && (e.victims[o] || s.evicted[o] || slices.Contains(chosen, o)) {
+			n++
+		}
+	}
+	return n < spare(u)
+}
+
 // sortedUnits returns the tasks of a set that are placed on a worker, sorted.
 func sortedUnits(set map[*unit]bool) []*unit {
 	out := make([]*unit, 0, len(set))
@@ -225,7 +270,7 @@
 		if missing == (task.Resources{}) {
 			break
 		}
-		if !reduces(v.need(), missing) {
+		if !reduces(v.need(), missing) || !e.spares(s, v, out) {
 			continue
 		}
 		available = available.Plus(v.need())
--- a/core/plan/host_test.go
+++ b/core/plan/host_test.go
@@ -202,6 +202,9 @@
 	if r.startedAt == 0 {
 		return 0
 	}
+	if f.jobs[r.name.Job].Steps[r.name.Step].Service {
+		return 100 // it is at work
+	}
 	return int(100 * r.work / float64(max(1, f.duration(f.jobs[r.name.Job], r.name.Step, h))))
 }
 
--- /dev/null
+++ b/core/plan/lasting_test.go
@@ -0,0 +1,85 @@
+package plan_test
+
+import (
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"gypsumcrank/core/clock"
+	"gypsumcrank/core/plan"
+	"gypsumcrank/core/route"
+	"gypsumcrank/core/task"
+)
+
+// lastingFleet runs a job whose tasks run until it is cancelled, one on each worker, which take all
+// accelerators of it. The account "acme" has a guarantee.
+func lastingFleet(t *testing.T, hosts, guaranteed, maxAway int) *fleet {
+	f := newFleet(t, hosts, 3, workerResources)
+	f.config = (&route.Config{Version: 2, Accounts: map[string]route.Account{"acme": {Name: "acme", Accelerators: guaranteed}, "birch": {Name: "birch"}}}).Prepare()
+	f.send(plan.ConfigMsg{Config: f.config})
+	f.duration = func(j *task.Job, step int, _ *host) clock.Millis {
+		if j.Steps[step].Service {
+			return clock.Hour
+		}
+		return j.Steps[step].Estimate
+	}
+	lasting := oneTask("lasting", 8)
+	lasting.Account, lasting.Priority = "birch", 2
+	lasting.Steps[0].Count, lasting.Steps[0].Service, lasting.Steps[0].MaxAway = hosts, true, maxAway
+	f.submit(lasting)
+	f.run(2000)
+	for _, h := range f.hosts {
+		qt.Assert(t, h.runs, qt.HasLen, 1)
+	}
+	f.run(8000)
+	return f
+}
+
+func guaranteedJob(id string, tasks, accelerators int) *task.Job {
+	j := oneTask(id, accelerators)
+	j.Account, j.Priority = "acme", 0
+	j.Steps[0].Count = tasks
+	return j
+}
+
+// Guards against a guarantee that can't be had back: work that runs until it is cancelled had taken all
+// accelerators, and was never stopped for a guaranteed job.
+func TestGuaranteedWorkStopsLastingWork(t *testing.T) {
+	for _, maxAway := range []int{0, 2} {
+		c := qt.New(t)
+		f := lastingFleet(t, 4, 2, maxAway)
+		f.submit(guaranteedJob("urgent", 2, 1))
+		f.run(plan.DefaultSettings().ReclaimLimit / 2)
+		running := 0
+		for _, h := range f.hosts {
+			for name := range h.runs {
+				if n, err := task.ParseName(name); err == nil && n.Job == "urgent" {
+					running++
+				}
+			}
+		}
+		c.Check(running, qt.Equals, 2, qt.Commentf("max away %d", maxAway))
+		c.Check(f.evicted, qt.Equals, 1)
+		f.run(20_000)
+		c.Check(f.records["urgent"].State, qt.Equals, task.Completed)
+		for _, h := range f.hosts { // the lasting task is back
+			c.Check(h.runs, qt.HasLen, 1)
+		}
+	}
+}
+
+// Work beyond a guarantee stops no lasting work, and no step loses more tasks than it can miss.
+func TestLastingWorkIsSparedBeyondTheGuarantee(t *testing.T) {
+	for name, test := range map[string]struct{ guaranteed, maxAway, tasks, accelerators, evicted int }{
+		"no guarantee":               {0, 0, 2, 8, 0},
+		"more than may be missed":    {16, 1, 2, 8, 1},
+		"a guarantee for one of two": {8, 0, 2, 8, 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := lastingFleet(t, 4, test.guaranteed, test.maxAway)
+			f.submit(guaranteedJob("urgent", test.tasks, test.accelerators))
+			f.run(1500)
+			qt.Check(t, f.evicted, qt.Equals, test.evicted)
+		})
+	}
+}
