--- a/core/plan/headroom.go
+++ b/core/plan/headroom.go
@@ -19,6 +19,9 @@
 	// maxIdleWait is how long a request leaves the headroom alone while the
 	// workers are mostly idle.
 	maxIdleWait = 1500 * clock.Millisecond
+	// maxLastingWait is how long a task that runs until it is cancelled waits for a better place
+	// than one that is free. It serves nobody meanwhile, and never is too late.
+	maxLastingWait = 2 * clock.Second
 )
 
 // reserveHeadroom takes the emptiest workers out of the snapshot for requests
@@ -62,10 +65,11 @@
 
 // canWait reports whether a request leaves the headroom alone, because its job
 // ends in time even if it starts later. While most resources are idle, no
-// request does so for longer than maxIdleWait.
+// request does so for longer than maxIdleWait, and none for tasks that run until they
+// are cancelled for longer than maxLastingWait.
 func (p *Planner) canWait(r *request) bool {
 	j := r.job()
-	if p.standsIdle(r) {
+	if p.standsIdle(r) || p.hasWaitedToLast(r) {
 		return false
 	}
 	if j.Priority > 1 {
@@ -95,6 +99,12 @@
 	}
 }
 
+// hasWaitedToLast reports whether a request is for tasks that run until they are cancelled, and has
+// waited long enough to take any free place.
+func (p *Planner) hasWaitedToLast(r *request) bool {
+	return r.first().step.Service && p.now.Monotonic-r.waitingSince >= maxLastingWait
+}
+
 // standsIdle reports whether a request has waited while most of its service is idle. Then it
 // may use whatever is free.
 func (p *Planner) standsIdle(r *request) bool {
--- a/core/plan/lasting_test.go
+++ b/core/plan/lasting_test.go
@@ -1,6 +1,7 @@
 package plan_test
 
 import (
+	"fmt"
 	"testing"
 
 	qt "github.com/frankban/quicktest"
@@ -17,12 +18,7 @@
 	f := newFleet(t, hosts, 3, workerResources)
 	f.config = (&route.Config{Version: 2, Accounts: map[string]route.Account{"acme": {Name: "acme", Accelerators: guaranteed}, "birch": {Name: "birch"}}}).Prepare()
 	f.send(plan.ConfigMsg{Config: f.config})
-	f.duration = func(j *task.Job, step int, _ *host) clock.Millis {
-		if j.Steps[step].Service {
-			return clock.Hour
-		}
-		return j.Steps[step].Estimate
-	}
+	f.letServicesLast()
 	lasting := oneTask("lasting", 8)
 	lasting.Account, lasting.Priority = "birch", 2
 	lasting.Steps[0].Count, lasting.Steps[0].Service, lasting.Steps[0].MaxAway = hosts, true, maxAway
@@ -35,6 +31,16 @@
 	return f
 }
 
+// letServicesLast makes tasks that run until they are cancelled do so.
+func (f *fleet) letServicesLast() {
+	f.duration = func(j *task.Job, step int, _ *host) clock.Millis {
+		if j.Steps[step].Service {
+			return clock.Hour
+		}
+		return j.Steps[step].Estimate
+	}
+}
+
 func guaranteedJob(id string, tasks, accelerators int) *task.Job {
 	j := oneTask(id, accelerators)
 	j.Account, j.Priority = "acme", 0
@@ -83,3 +89,57 @@
 		})
 	}
 }
+
+// placeOf returns the worker that runs a task, or nil.
+func (f *fleet) placeOf(name string) *host {
+	for _, h := range f.hosts {
+		if h.runs[name] != nil {
+			return h
+		}
+	}
+	return nil
+}
+
+// Guards against a lasting task that stays down: it left what is kept free for urgent jobs alone, for as
+// long as these came, although two workers were all but empty.
+func TestALastingTaskIsBackSoonBesideUrgentJobs(t *testing.T) {
+	c := qt.New(t)
+	f := lastingFleet(t, 9, 0, 0)
+	for range 2 {
+		f.addHost(3, workerResources)
+		f.connect(f.hosts[len(f.hosts)-1])
+	}
+	one := oneTask("one", 1)
+	one.Account, one.Priority, one.Steps[0].Service = "acme", 2, true
+	f.submit(one)
+	f.run(5000)
+	h := f.placeOf("one.0.0.0")
+	c.Assert(h, qt.IsNotNil)
+	for i := range 10 {
+		urgent := oneTask(fmt.Sprint("u", i), 1)
+		urgent.Account, urgent.Priority, urgent.Steps[0].Estimate = "acme", 0, 500
+		f.submit(urgent)
+		f.run(1500)
+		if i == 2 {
+			h.end("one.0.0.0", plan.EndFailed)
+		}
+		if i >= 4 {
+			c.Assert(f.placeOf("one.0.0.0"), qt.IsNotNil, qt.Commentf("%d ms after its end", (i-2)*3000))
+		}
+		f.run(1500)
+	}
+}
+
+// Guards against a lasting task that stays down because the rack with its data has lost its room.
+func TestALastingTaskDoesNotWaitForItsRack(t *testing.T) {
+	c := qt.New(t)
+	f := lastingFleet(t, 3, 0, 0) // fills the rack r0
+	f.addHost(3, workerResources)
+	f.connect(f.hosts[3])
+	one := oneTask("one", 1)
+	one.Account, one.Priority = "acme", 2
+	one.Steps[0].Service, one.Steps[0].DataRack, one.Steps[0].Estimate = true, "r0", 11_000
+	f.submit(one)
+	f.run(4000)
+	c.Check(f.placeOf("one.0.0.0"), qt.Equals, f.hosts[3])
+}
--- a/core/plan/place.go
+++ b/core/plan/place.go
@@ -212,7 +212,7 @@
 func (p *Planner) mayCrossRacks(s *snapshot, r *request) bool {
 	u := r.first()
 	settled := r.guaranteed || p.now.Monotonic-p.started > joinTime // before, workers may not have joined yet
-	if u.step.SameRack && len(r.units) > 1 && settled && !s.fitsOneEmptyRack(r) || u.crashes.Likely() {
+	if u.step.SameRack && len(r.units) > 1 && settled && !s.fitsOneEmptyRack(r) || u.crashes.Likely() || p.hasWaitedToLast(r) {
 		return true
 	}
 	return p.now.Monotonic-r.waitingSince >= p.crossRackDelay(u)
