--- a/core/plan/lasting_test.go
+++ b/core/plan/lasting_test.go
@@ -143,3 +143,23 @@
 	f.run(4000)
 	c.Check(f.placeOf("one.0.0.0"), qt.Equals, f.hosts[3])
 }
+
+// Guards against a gang that waits for a rack which lasting tasks keep: it can't be had, so the gang spans
+// racks while most of the service is idle.
+func TestAGangDoesNotWaitForRacksThatLastingWorkKeeps(t *testing.T) {
+	c := qt.New(t)
+	f := newFleet(t, 9, 3, workerResources)
+	f.letServicesLast()
+	for _, rack := range []string{"r0", "r1", "r2"} {
+		one := oneTask("lasting-"+rack, 8)
+		one.Priority, one.Steps[0].Service, one.Steps[0].Label = 2, true, rack
+		f.submit(one)
+	}
+	f.run(3000)
+	gang := oneTask("gang", 8)
+	gang.Priority, gang.Steps[0].Count, gang.Steps[0].Estimate = 1, 3, 11_000
+	gang.Steps[0].Gang, gang.Steps[0].SameRack = true, true
+	f.submit(gang)
+	f.run(3000)
+	c.Check(f.placeOf("gang.0.0.0"), qt.IsNotNil)
+}
--- a/core/plan/place.go
+++ b/core/plan/place.go
@@ -207,8 +207,8 @@
 const joinTime = 2 * clock.Second
 
 // mayCrossRacks reports whether a request has waited long enough for the right
-// rack, could not run on a single rack even if one were empty, or is likely to crash its
-// worker anyway.
+// rack, could not run on a single rack even if all that ends there had ended, or is likely to
+// crash its worker anyway.
 func (p *Planner) mayCrossRacks(s *snapshot, r *request) bool {
 	u := r.first()
 	settled := r.guaranteed || p.now.Monotonic-p.started > joinTime // before, workers may not have joined yet
@@ -222,15 +222,15 @@
 	return s.byRack[rack]
 }
 
-// fitsOneEmptyRack reports whether some rack, if it were empty, could hold all
-// tasks of the request.
+// fitsOneEmptyRack reports whether some rack could hold all tasks of the request, if nothing ran
+// there but tasks that run until they are cancelled.
 func (s *snapshot) fitsOneEmptyRack(r *request) bool {
 	u := r.first()
 	for _, rack := range s.racks {
 		n := 0
 		for _, w := range s.inRack(rack) {
 			if matches(w, u) {
-				n += copies(w.capacity, u)
+				n += copies(w.capacity.Minus(w.lasting()), u)
 			}
 		}
 		if n >= len(r.units) {
@@ -240,6 +240,17 @@
 	return false
 }
 
+// lasting returns the resources of tasks on a worker that run until they are cancelled.
+func (w *worker) lasting() task.Resources {
+	var sum task.Resources
+	for u := range w.units {
+		if u.step.Service {
+			sum = sum.Plus(u.need())
+		}
+	}
+	return sum
+}
+
 // copies returns how many tasks like u fit into the given resources, up to the
 // limits of its step.
 func copies(have task.Resources, u *unit) int {
