--- a/core/plan/booking.go
+++ b/core/plan/booking.go
@@ -163,15 +163,17 @@
 func (p *Planner) useReservation(s *snapshot, r *request) bool {
 	targets := make([]*worker, len(r.units))
 	needs := make(map[*worker]task.Resources)
+	count := make(map[*worker]int)
 	free := true
 	for i, u := range r.units {
 		w := u.reservedOn
 		if w == nil {
 			return false
 		}
-		if _, usable := s.free[w]; !usable || p.keptApart(w, u) {
+		if _, usable := s.free[w]; !usable || p.keptApart(w, u) || !belowWorkerLimit(w, u, count[w]) {
 			return false
 		}
+		count[w]++
 		targets[i] = w
 		needs[w] = needs[w].Plus(u.need())
 	}
--- a/core/plan/evict.go
+++ b/core/plan/evict.go
@@ -91,7 +91,7 @@
 	}
 	n := u.step.MaxAway
 	for _, o := range u.job.units {
-		if o.name.Step == u.name.Step && o.name.Occurrence == u.name.Occurrence && (o.phase != running || o.percent < fullPercent) {
+		if o.sameStep(u) && (o.phase != running || o.percent < fullPercent) {
 			n--
 		}
 	}
@@ -109,7 +109,7 @@
 	}
 	n := 0
 	for _, o := range u.job.units {
-		if o.step == u.step && o.name.Occurrence == u.name.Occurrence && o.phase == running && o.percent == fullPercent && (e.victims[o] || s.evicted[o] || slices.Contains(chosen, o)) {
+		if o.sameStep(u) && o.phase == running && o.percent == fullPercent && (e.victims[o] || s.evicted[o] || slices.Contains(chosen, o)) {
 			n++
 		}
 	}
--- a/core/plan/lasting_test.go
+++ b/core/plan/lasting_test.go
@@ -163,3 +163,31 @@
 	f.run(3000)
 	c.Check(f.placeOf("gang.0.0.0"), qt.IsNotNil)
 }
+
+// Guards against more tasks of a step on one worker than its limit: tasks that have resources booked there,
+// which others leave one by one, were not counted.
+func TestBookingsRespectTheLimitOfTasksAWorker(t *testing.T) {
+	f := newFleet(t, 6, 3, workerResources)
+	for i := range 6 {
+		batch := oneTask(fmt.Sprint("batch", i), 1)
+		batch.Priority, batch.Steps[0].Count, batch.Steps[0].Estimate = 2, 8, 40_000
+		f.submit(batch)
+	}
+	f.run(4000)
+	urgent := oneTask("urgent", 1)
+	urgent.Priority, urgent.Steps[0].Count, urgent.Steps[0].MaxPerWorker = 0, 4, 1
+	f.submit(urgent)
+	for range 200 {
+		f.run(50)
+		for _, h := range f.hosts {
+			n := 0
+			for name := range h.runs {
+				if parsed, err := task.ParseName(name); err == nil && parsed.Job == "urgent" {
+					n++
+				}
+			}
+			qt.Assert(t, n <= 1, qt.IsTrue, qt.Commentf("%d tasks on %s", n, h.node))
+		}
+	}
+	qt.Check(t, f.records["urgent"].State, qt.Equals, task.Completed)
+}
--- a/core/plan/place.go
+++ b/core/plan/place.go
@@ -321,20 +321,25 @@
 }
 
 // belowWorkerLimit reports whether a worker may run one more task of u's step
-// besides its present and planned ones.
+// besides its present and planned ones, and those that have resources booked there.
 func belowWorkerLimit(w *worker, u *unit, planned int) bool {
 	if u.step.MaxPerWorker == 0 {
 		return true
 	}
 	n := planned
-	for o := range w.units {
-		if o.job == u.job && o.name.Step == u.name.Step && o.name.Occurrence == u.name.Occurrence {
+	for _, o := range u.job.units {
+		if o.placedOn == w && o.sameStep(u) || o.placedOn == nil && o.reservedOn == w && o.sameStep(u) && o != u && (o.gang == nil || o.gang != u.gang) {
 			n++
 		}
 	}
 	return n < u.step.MaxPerWorker
 }
 
+// sameStep reports whether two tasks belong to the same step of the same occurrence.
+func (u *unit) sameStep(o *unit) bool {
+	return u.job == o.job && u.name.Step == o.name.Step && u.name.Occurrence == o.name.Occurrence
+}
+
 // placementCost prefers the fullest worker (best fit), so that empty workers
 // remain available to tasks that need a whole one.
 func placementCost(w *worker, u *unit, free task.Resources) float64 {
