--- a/io/link/link.go
+++ b/io/link/link.go
@@ -25,8 +25,10 @@
 
 // Limits of a connection.
 const (
-	maxFrame     = 4 << 20 // bytes; a report of some thousand tasks fits
-	sendQueueLen = 1024    // frames that may wait for a slow peer
+	maxFrame = 4 << 20 // bytes; a report of some thousand tasks fits
+	// maxQueued is how many frames may wait for a slow peer: more than the orders for all tasks of
+	// several of the largest jobs.
+	maxQueued    = 16 << 10
 	writeTimeout = 2 * time.Second
 )
 
@@ -71,16 +73,19 @@
 type Conn struct {
 	raw   net.Conn
 	in    *bufio.Reader
-	out   chan Frame
+	wake  chan struct{} // has a value if frames may wait
 	once  sync.Once
 	sent  atomic.Int64 // when Send was last called, in milliseconds of the monotonic clock
 	heard atomic.Int64 // when the last frame was received, or the connection made
 	done  chan struct{}
+
+	mu     sync.Mutex
+	queued []Frame // that run has not taken yet
 }
 
 // New wraps a connection and starts its writer.
 func New(raw net.Conn) *Conn {
-	c := &Conn{raw: raw, in: bufio.NewReader(raw), out: make(chan Frame, sendQueueLen), done: make(chan struct{})}
+	c := &Conn{raw: raw, in: bufio.NewReader(raw), wake: make(chan struct{}, 1), done: make(chan struct{})}
 	c.heard.Store(int64(clock.System().Monotonic()))
 	go c.run()
 	return c
@@ -115,11 +120,19 @@
 // closed.
 func (c *Conn) Send(f Frame) {
 	c.sent.Store(int64(clock.System().Monotonic()))
+	c.mu.Lock()
+	full := len(c.queued) >= maxQueued
+	if !full {
+		c.queued = append(c.queued, f)
+	}
+	c.mu.Unlock()
+	if full {
+		c.Close()
+		return
+	}
 	select {
-	case c.out <- f:
-	case <-c.done:
+	case c.wake <- struct{}{}:
 	default:
-		c.Close()
 	}
 }
 
@@ -166,22 +179,37 @@
 // Done returns a channel that is closed when the connection has ended.
 func (c *Conn) Done() <-chan struct{} { return c.done }
 
+// take returns the frames that wait.
+func (c *Conn) take() []Frame {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	out := c.queued
+	c.queued = nil
+	return out
+}
+
 func (c *Conn) run() {
 	w := bufio.NewWriter(c.raw)
 	for {
 		select {
 		case <-c.done:
 			return
-		case f := <-c.out:
+		case <-c.wake:
+		}
+		for _, f := range c.take() {
 			if err := c.write(w, f); err != nil {
 				c.Close()
 				return
 			}
 		}
+		if err := w.Flush(); err != nil {
+			c.Close()
+			return
+		}
 	}
 }
 
-// write sends one frame, and flushes if no other is queued.
+// write buffers one frame.
 func (c *Conn) write(w *bufio.Writer, f Frame) error {
 	body, err := cbor.Marshal(f)
 	if err != nil {
@@ -195,11 +223,6 @@
 	if _, err := w.Write(head[:]); err != nil {
 		return err
 	}
-	if _, err := w.Write(body); err != nil {
-		return err
-	}
-	if len(c.out) > 0 {
-		return nil
-	}
-	return w.Flush()
+	_, err = w.Write(body)
+	return err
 }
--- a/io/side/find.go
+++ b/io/side/find.go
@@ -203,6 +203,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	go s.runKeepalive(ctx, c)
+	slots := make(chan struct{}, maxOrders)
 	check := &plannerCheck{side: s, conn: c}
 	defer check.end()
 	for ctx.Err() == nil {
@@ -224,7 +225,7 @@
 			s.applyGrant(*f.Grant)
 		}
 		if f.Order != nil {
-			go s.runOrder(ctx, c, *f.Order)
+			go s.runOrder(ctx, c, slots, *f.Order)
 		}
 	}
 	return true
--- a/io/side/side.go
+++ b/io/side/side.go
@@ -91,6 +91,8 @@
 	// handoverInterval is how often a side whose worker does not answer tells the
 	// planner what it knows of the worker's leases.
 	handoverInterval = 600 * clock.Millisecond
+	// maxOrders is how many orders the worker is given at once; the others wait.
+	maxOrders = 32
 	// retryDelay is the wait after a failed hold call.
 	retryDelay = 150 * time.Millisecond
 )
@@ -395,8 +397,14 @@
 	}
 }
 
-// runOrder carries out one order and reports the outcome.
-func (s *Side) runOrder(ctx context.Context, c *link.Conn, o plan.Order) {
+// runOrder carries out one order, once it has a slot, and reports the outcome.
+func (s *Side) runOrder(ctx context.Context, c *link.Conn, slots chan struct{}, o plan.Order) {
+	select {
+	case slots <- struct{}{}:
+		defer func() { <-slots }()
+	case <-ctx.Done():
+		return
+	}
 	r := plan.ResultMsg{Node: s.Node, Incarnation: o.Incarnation, Kind: o.Kind, Task: o.Task, Run: o.Run}
 	r.Outcome, r.Reason = s.execute(ctx, o)
 	s.Log.Info("order", "kind", o.Kind, "task", o.Task, "run", o.Run, "epoch", o.Epoch, "until", int64(o.Until), "outcome", r.Outcome, "reason", r.Reason)
