--- a/core/plan/booking.go
+++ b/core/plan/booking.go
@@ -170,7 +170,7 @@
 		if w == nil {
 			return false
 		}
-		if _, usable := s.free[w]; !usable || p.keptApart(w, u) || !belowWorkerLimit(w, u, count[w]) {
+		if _, usable := s.free[w]; !usable || !matches(w, u) || p.keptApart(w, u) || !belowWorkerLimit(w, u, count[w]) {
 			return false
 		}
 		count[w]++
--- a/core/plan/fleet_test.go
+++ b/core/plan/fleet_test.go
@@ -39,6 +39,7 @@
 	firstReportDelay func() clock.Millis
 	slowdown         func(h *host) float64 // how many times as long the worker's tasks take
 	factors          map[string]float64    // how many times as long tasks take on each host, always; nil if hosts are alike
+	moving           bool                  // queues move between services
 	endsPerList      int                   // how many ended tasks a worker lists at most; 0 if it lists all
 	oldSides         bool                  // sides don't keep what the planner has learned of their workers
 	failsAtEnd       func(r *run) bool     // whether a run that has done its work ends failed
--- a/core/plan/job.go
+++ b/core/plan/job.go
@@ -11,6 +11,9 @@
 // job is one accepted job with the tasks of its due occurrences.
 type job struct {
 	*task.Job
+	// Service has the workers that its tasks start on: at first that of its queue when it was
+	// accepted, as in Job.
+	Service        string
 	state          task.State
 	rev            int64
 	started        bool
@@ -56,7 +59,7 @@
 	if _, known := p.jobs[m.Job.ID]; known {
 		return
 	}
-	j := &job{Job: m.Job, state: task.Queued, rev: m.Rev, addedAt: p.now.Monotonic, index: make(map[task.Name]*unit)}
+	j := &job{Job: m.Job, Service: m.Job.Service, state: task.Queued, rev: m.Rev, addedAt: p.now.Monotonic, index: make(map[task.Name]*unit)}
 	p.jobs[j.ID] = j
 	if m.Progress != nil {
 		j.state, j.started, j.endedAt, j.reason = m.Progress.State, m.Progress.Started, m.Progress.Ended, m.Progress.Reason
--- a/core/plan/plan.go
+++ b/core/plan/plan.go
@@ -83,10 +83,11 @@
 	changed        bool                      // a placement that failed before may succeed now
 	effects        Effects
 	closings       closings
-	paused         bool         // no task is placed
-	pausedAt       clock.Millis // when the pause began
-	settlesAt      clock.Millis // until then only work of priority 0 is placed
-	leaveCheckedAt clock.Millis // when tasks on leaving workers were last examined
+	paused         bool                    // no task is placed
+	pausedAt       clock.Millis            // when the pause began
+	settlesAt      clock.Millis            // until then only work of priority 0 is placed
+	goneSince      map[string]clock.Millis // since when services that jobs wait for have had no worker
+	leaveCheckedAt clock.Millis            // when tasks on leaving workers were last examined
 }
 
 // Update applies one message and returns what the caller must carry out.
@@ -183,6 +184,7 @@
 	p.endSettling()
 	if p.now.Monotonic-p.lastScheduled >= rescheduleInterval {
 		p.moveOffStalled()
+		p.moveJobs()
 		p.changed = true
 	}
 }
