--- a/core/plan/host_test.go
+++ b/core/plan/host_test.go
@@ -33,6 +33,7 @@
 	ackedThrough       int64
 	lapsedThrough      int64 // ends up to this number were listed before a lease lapsed; they never count as acknowledged
 	answers            int64
+	answersBefore      int64        // when the lists of the next report were called for
 	partitioned        bool         // cut off from the planner
 	startedPartitioned bool         // it was partitioned when this incarnation started
 	down               bool         // its process is gone, and only its side is there
@@ -139,6 +140,9 @@
 	if h == nil || h.partitioned || h.incarnation != g.Incarnation || plan.Token(g.Epoch, g.Fence) < h.fence {
 		return
 	}
+	if g.Fence > 0 && (g.Fence > h.granted.Fence || h.granted.Incarnation != g.Incarnation) {
+		h.nextReportAt = f.now // the side does not wait for an end under a new fence
+	}
 	h.granted = g
 	h.watch.PassOn(g.Until)
 	if h.down {
@@ -330,7 +334,8 @@
 	}
 	h.fence = plan.Token(m.Epoch, m.Fence)
 	h.watch.Answered(f.now, h.clock())
-	m.Clock, m.AnsweredOrders = h.clock(), h.answers
+	m.Clock, m.AnsweredOrders = h.clock(), h.answersBefore
+	h.answersBefore = h.answers // the next call for lists is made now
 	for _, name := range h.names() {
 		m.Running = append(m.Running, plan.RunningTask{Task: name, Run: h.runs[name].run, Percent: f.percent(h, h.runs[name])})
 	}
@@ -359,7 +364,7 @@
 	h.incarnation.StartedAt, h.startedPartitioned, h.said = h.f.now-h.setBack, h.partitioned, h.resources
 	h.sizes = nil
 	h.runs, h.lastStopped, h.ends = map[string]*run{}, map[string]int{}, nil
-	h.lastEnd, h.ackedThrough, h.lapsedThrough, h.fence, h.leaseUntil, h.answers = 0, 0, 0, 0, 0, 0
+	h.lastEnd, h.ackedThrough, h.lapsedThrough, h.fence, h.leaseUntil, h.answers, h.answersBefore = 0, 0, 0, 0, 0, 0, 0
 	h.down, h.mute, h.leaving, h.watch = false, false, false, h.watch.Next(h.f.now, sameID)
 	if !h.partitioned {
 		h.f.connect(h)
--- a/core/plan/lists.go
+++ b/core/plan/lists.go
@@ -26,7 +26,7 @@
 	p.applyRunning(w, m.Running)
 	p.observeWorker(w)
 	if !m.EndsCut {
-		p.applyAbsence(w, m.AnsweredOrders)
+		p.applyAbsence(w, m)
 	} else if missing := len(w.unlisted()); missing > 0 {
 		p.emit(Event{Kind: "ends_cut", Worker: w.node, Detail: fmt.Sprintf("listed=%d acknowledged=%d missing=%d", len(m.Ended), w.ackedThrough, missing)})
 	}
@@ -36,7 +36,7 @@
 // applyAbsence concludes what follows from the tasks that are in neither of a worker's lists, of
 // which the list of ended tasks is whole: a run that is missing from a list that was cut may have
 // ended, and is started a second time if it is taken for over.
-func (p *Planner) applyAbsence(w *worker, answeredOrders int64) {
+func (p *Planner) applyAbsence(w *worker, m ReportMsg) {
 	for _, u := range w.unlisted() {
 		switch {
 		case u.phase == inDoubt:
@@ -45,9 +45,9 @@
 			p.logLoss(u, lostUnlisted)
 			p.release(u)
 			p.stopGangPeers(u)
-		case u.phase == stopping && u.answerSeq > 0 && answeredOrders >= u.answerSeq:
+		case u.phase == stopping && (u.answerSeq > 0 && m.AnsweredOrders >= u.answerSeq || u.inherited && m.Fence >= w.fence):
 			p.release(u)
-		case u.phase == running && (u.answerSeq > 0 && answeredOrders >= u.answerSeq || u.mustListIn > 0 && w.reports >= u.mustListIn):
+		case u.phase == running && (u.answerSeq > 0 && m.AnsweredOrders >= u.answerSeq || u.mustListIn > 0 && w.reports >= u.mustListIn):
 			p.emit(Event{Kind: "run_vanished", Job: u.job.ID, Task: u.fullName, Worker: w.node, Run: u.run})
 			p.stop(u)
 			p.stopGangPeers(u)
--- a/core/plan/lists_test.go
+++ b/core/plan/lists_test.go
@@ -196,3 +196,22 @@
 		})
 	}
 }
+
+// Guards against tasks that wait for seconds although their worker has come back: each stop that was sent again
+// counted as the one that the next list had to be called for after, and a list takes almost as long as
+// the time between two of them.
+func TestAStopThatIsSentAgainDelaysNoRelease(t *testing.T) {
+	for offset := clock.Millis(0); offset < 1000; offset += 100 {
+		c := qt.New(t)
+		f := newFleet(t, 1, 1, workerResources)
+		h := f.hosts[0]
+		long := oneTask("a", 8)
+		long.Steps[0].Estimate = 10_000
+		f.submit(long)
+		f.run(1500 + offset)
+		c.Assert(h.runs, qt.HasLen, 1)
+		h.restart()
+		f.run(2500)
+		c.Check(f.records["a"].Tasks[0].Run, qt.Equals, 2, qt.Commentf("offset %s", offset))
+	}
+}
--- a/core/plan/order.go
+++ b/core/plan/order.go
@@ -143,7 +143,15 @@
 	if m.Kind == OrderStart {
 		p.applyStartResult(u, m)
 	} else if u.phase == stopping && m.Outcome == Accepted {
-		u.answerSeq = m.AnswerSeq
+		u.noteAnswer(m.AnswerSeq)
+	}
+}
+
+// noteAnswer records the first answer that accepted the run's last order. The answers to the same
+// order sent again prove no more, and come later.
+func (u *unit) noteAnswer(seq int64) {
+	if u.answerSeq == 0 {
+		u.answerSeq = seq
 	}
 }
 
@@ -156,7 +164,7 @@
 		return
 	case m.Outcome == Accepted:
 		p.confirm(u)
-		u.answerSeq = m.AnswerSeq
+		u.noteAnswer(m.AnswerSeq)
 	case u.phase != starting:
 		return
 	case m.Outcome == InDoubt:
--- a/core/plan/unit.go
+++ b/core/plan/unit.go
@@ -43,6 +43,7 @@
 	startSentAt  clock.Millis              // when the start order of the run was last sent
 	startsSent   int                       // start orders sent for this run
 	startInDoubt bool                      // a start order of this run may still be on its way
+	inherited    bool                      // the run was ordered on a predecessor of its worker, which refuses it once it has seen its fence
 	stopWanted   bool                      // in phase inDoubt: the run is to be stopped if the worker lists it
 	answerSeq    int64                     // number of the answer that accepted the last order, 0 if none did yet
 	listedIn     int                       // number of the worker's last report that listed the run
@@ -70,7 +71,7 @@
 	u.setPhase(initial)
 	u.startsSent, u.startSentAt, u.startInDoubt, u.answerSeq, u.orderSentAt, u.percent, u.confirmedAt, u.awaitedUntil, u.lent = 0, 0, false, 0, 0, 0, 0, 0, false
 	u.basePercent, u.baseAt = 0, 0
-	u.stopWanted, u.mustListIn = false, 0
+	u.stopWanted, u.inherited, u.mustListIn = false, false, 0
 	u.pace = pace{}
 	w.units[u] = true
 	w.byName[u.fullName] = u
--- a/core/plan/worker.go
+++ b/core/plan/worker.go
@@ -214,6 +214,7 @@
 			}
 			u.unassign()
 			u.assign(w, stopping)
+			u.inherited = true
 			p.markDirty(u.job)
 			p.sendStop(u)
 			p.stopGangPeers(u)
--- a/io/side/confirm.go
+++ b/io/side/confirm.go
@@ -192,7 +192,7 @@
 		s.predecessor = old.Incarnation
 	}
 	s.endpoint, s.largest = &e, e.Capacity
-	s.gone, s.leftAt, s.contradicted = false, 0, false
+	s.gone, s.leftAt, s.contradicted, s.heldFence = false, 0, false, 0
 	s.watch.Heard(now, e.Draining, e.remainingAt(now))
 	s.announceEndpoint()
 }
--- a/io/side/confirm_test.go
+++ b/io/side/confirm_test.go
@@ -6,6 +6,7 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"gypsumcrank/core/clock"
 	"gypsumcrank/core/fault"
 	"gypsumcrank/core/plan"
 	"gypsumcrank/core/task"
@@ -180,6 +181,10 @@
 	s.applyGrant(plan.Grant{Incarnation: incarnation(5), Epoch: 3, Fence: 8})
 	p, _ = s.nextHold(context.Background())
 	c.Check(plan.Token(p.hold.Epoch, p.hold.Fence), qt.Equals, int64(8))
+	c.Check(p.hold.Wait, qt.Equals, clock.Millis(0)) // the planner waits for lists under it
+	s.sendReport(canceled(), p, HoldReply{StartedAt: 5, Clock: 4000})
+	p, _ = s.nextHold(context.Background())
+	c.Check(p.hold.Wait, qt.Equals, holdWait)
 
 	s.grant = plan.Grant{}
 	p, _ = s.nextHold(context.Background())
--- a/io/side/side.go
+++ b/io/side/side.go
@@ -124,6 +124,7 @@
 	attachedAt     clock.Millis     // when that connection was made, on the monotonic clock
 	epoch          int64            // of the planner last connected to
 	grant          plan.Grant       // the last one
+	heldFence      int64            // fence of the last hold call that the endpoint answered
 	speed          workerSpeed      // kept for the next planner
 	answeredOrders int64            // orders that the worker has answered or the side has refused
 	changed        chan struct{}    // closed by notifyChanged
@@ -248,6 +249,9 @@
 			if s.granted() {
 				p.hold.Until, p.hold.AckedThrough, p.hold.Fence = s.grant.Until, s.grant.AckedThrough, s.grant.Fence
 				p.granted = true
+				if s.grant.Fence > s.heldFence {
+					p.hold.Wait = 0 // the planner waits for lists under it
+				}
 				s.watch.PassOn(p.hold.Until)
 			} else {
 				p.hold.Wait = 0
@@ -334,7 +338,7 @@
 	}
 	if s.endpoint != nil && s.endpoint.Incarnation == r.Incarnation {
 		s.watch.Answered(s.Clock.Monotonic(), lists.Clock)
-		s.gone, s.contradicted = false, false
+		s.gone, s.contradicted, s.heldFence = false, false, p.hold.Fence
 	}
 	changed := s.changed
 	s.mu.Unlock()
