The soak sends odd messages to sides; a deregistration is doubted after 2 s

An endpoint that answers for 2 s after a deregistration has not left; with 4 s its tasks could have stood for longer than the users' 3 s.

--- a/cmd/gypsumcrank/odd_test.go
+++ b/cmd/gypsumcrank/odd_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math"
+	"math/rand/v2"
 	"net/http"
 	"os"
 	"strings"
@@ -11,51 +12,74 @@
 	"gypsumcrank/io/store"
 )
 
-// sendOdd sends a message that no executor has sent to the control address of each side, and to
-// each of them the one message that a real executor in its place would not send. Argument: KIND.
+// oddKinds are the messages that sendOdd sends.
+var oddKinds = []string{
+	"another_writer", "born_in_the_future", "largest_numbers", "negative_numbers", "other_types", "missing_fields", "deeply_nested", "too_long", "no_json",
+	"departure", "departure_of_an_earlier_life",
+}
+
+// sendOdd sends a message that its executor has not sent to the control address of each side.
+// Argument: KIND.
 func (s *site) sendOdd(args []string) error {
-	for name, e := range s.executors {
-		control := "http://" + s.procs[name].addr + "/v1/executors/"
-		beat := func(id string, fields string) (path, body string) {
-			return control + id + "/heartbeat", fields
-		}
-		later, never := time.Now().UnixMilli(), int64(math.MaxInt64)
-		var path, body string
-		switch args[0] {
-		case "another_writer":
-			path, body = beat("x-1", fmt.Sprintf(`{"service":"other","address":"127.0.0.1:9","state":"ready","capacity":{"cpu":1000,"mem_mb":1000,"gpu":1},"labels":["a","r9"],"seq_no":1,"born":%d}`, later))
-		case "born_in_the_future":
-			path, body = beat(e.ID, fmt.Sprintf(`{"service":"svc","state":"ready","capacity":{"cpu":1000,"mem_mb":1000,"gpu":1},"labels":["a","r9"],"seq_no":1,"born":%d}`, later+1e9))
-		case "largest_numbers":
-			path, body = beat("x-2", fmt.Sprintf(`{"service":"svc","state":"draining","remaining_ms":%d,"cold_left_ms":%[1]d,"capacity":{"cpu":%[1]d,"mem_mb":%[1]d,"gpu":%[1]d},"labels":["a","r9"],"seq_no":%[1]d,"born":%[1]d}`, never))
-		case "negative_numbers":
-			path, body = beat("x-3", fmt.Sprintf(`{"service":"svc","state":"ready","remaining_ms":-1,"capacity":{"cpu":-1,"mem_mb":-1,"gpu":-1},"labels":["a","r9"],"seq_no":-1,"born":%d}`, later))
-		case "other_types":
-			path, body = beat("x-4", `{"service":5,"state":["ready"],"capacity":"much","labels":{"a":1},"seq_no":"4","born":"today"}`)
-		case "missing_fields":
-			path, body = beat("x-5", `{"service":"svc","state":"ready"}`)
-		case "deeply_nested":
-			path, body = beat("x-6", fmt.Sprintf(`{"service":"svc","state":"ready","born":%d,"labels":%s%s}`, later, strings.Repeat("[", 100_000), strings.Repeat("]", 100_000)))
-		case "too_long":
-			path, body = beat("x-7", fmt.Sprintf(`{"service":"svc","state":"ready","born":%d,"labels":["%s"]}`, later, strings.Repeat("a", 5<<20)))
-		case "no_json":
-			path, body = beat("x-8", "\x00\xff{")
-		case "departure":
-			path, body = control+e.ID+"/deregister", "{}"
-		case "departure_of_an_earlier_life":
-			path, body = control+e.ID+"/deregister", `{"born":1}`
-		default:
-			return fmt.Errorf("unknown kind of message %q", args[0])
+	for name := range s.executors {
+		if err := s.sendOddTo(name, args[0]); err != nil {
+			return err
 		}
-		resp, err := http.Post(path, "application/json", strings.NewReader(body))
-		if err != nil {
-			continue // the side may close the connection on a body that is too long
-		}
-		resp.Body.Close()
 	}
 	return nil
 }
 
+// oddStep sends an odd message to a random side now and then.
+func (s *soak) oddStep(r *rand.Rand) {
+	if r.IntN(8) > 0 {
+		return
+	}
+	if err := s.sendOddTo(randomKey(r, s.executors), oddKinds[r.IntN(len(oddKinds))]); err != nil {
+		s.t.Fatal(err)
+	}
+}
+
+// sendOddTo sends one side a message that its executor has not sent.
+func (s *site) sendOddTo(side, kind string) error {
+	e := s.executors[side]
+	control := "http://" + s.procs[side].addr + "/v1/executors/"
+	later, largest := time.Now().UnixMilli(), int64(math.MaxInt64)
+	path, body := control+"x-"+kind+"/heartbeat", ""
+	switch kind {
+	case "another_writer":
+		body = fmt.Sprintf(`{"service":"other","address":"127.0.0.1:9","state":"ready","capacity":{"cpu":1000,"mem_mb":1000,"gpu":1},"labels":["a","r9"],"seq_no":1,"born":%d}`, later)
+	case "born_in_the_future":
+		path = control + e.ID + "/heartbeat"
+		body = fmt.Sprintf(`{"service":"svc","state":"ready","capacity":{"cpu":1000,"mem_mb":1000,"gpu":1},"labels":["a","r9"],"seq_no":1,"born":%d}`, later+1e9)
+	case "largest_numbers":
+		body = fmt.Sprintf(`{"service":"svc","state":"draining","remaining_ms":%d,"cold_left_ms":%[1]d,"capacity":{"cpu":%[1]d,"mem_mb":%[1]d,"gpu":%[1]d},"labels":["a","r9"],"seq_no":%[1]d,"born":%[1]d}`, largest)
+	case "negative_numbers":
+		body = fmt.Sprintf(`{"service":"svc","state":"ready","remaining_ms":-1,"capacity":{"cpu":-1,"mem_mb":-1,"gpu":-1},"labels":["a","r9"],"seq_no":-1,"born":%d}`, later)
+	case "other_types":
+		body = `{"service":5,"state":["ready"],"capacity":"much","labels":{"a":1},"seq_no":"4","born":"today"}`
+	case "missing_fields":
+		body = `{"service":"svc","state":"ready"}`
+	case "deeply_nested":
+		body = fmt.Sprintf(`{"service":"svc","state":"ready","born":%d,"labels":%s%s}`, later, strings.Repeat("[", 100_000), strings.Repeat("]", 100_000))
+	case "too_long":
+		body = fmt.Sprintf(`{"service":"svc","state":"ready","born":%d,"labels":["%s"]}`, later, strings.Repeat("a", 5<<20))
+	case "no_json":
+		body = "\x00\xff{"
+	case "departure":
+		path, body = control+e.ID+"/deregister", "{}"
+	case "departure_of_an_earlier_life":
+		path, body = control+e.ID+"/deregister", `{"born":1}`
+	default:
+		return fmt.Errorf("unknown kind of message %q", kind)
+	}
+	client := http.Client{Timeout: time.Second}
+	resp, err := client.Post(path, "application/json", strings.NewReader(body))
+	if err != nil {
+		return nil // the side may be down, or close the connection on a body that is too long
+	}
+	return resp.Body.Close()
+}
+
 // storeOdd leaves entries of another writer among those of the fronts and of the jobs, and under the
 // operator's prefix.
 func (s *site) storeOdd([]string) error {
--- a/cmd/gypsumcrank/soak_test.go
+++ b/cmd/gypsumcrank/soak_test.go
@@ -122,11 +122,12 @@
 	for name, e := range s.executors {
 		e.SetOnStart(func(running []string) { s.crashes.checkRoom(name, running) })
 	}
-	turns := rand.New(rand.NewPCG(seed, 9))
+	turns, odd := rand.New(rand.NewPCG(seed, 9)), rand.New(rand.NewPCG(seed, 11))
 	for end := time.Now().Add(soakDuration); time.Now().Before(end); {
 		for range 1 + len(s.procs)/processesPerStep {
 			s.step()
 			s.turnAwayStep(turns, time.Now().Add(time.Duration(1000+turns.IntN(3000))*time.Millisecond))
+			s.oddStep(odd)
 		}
 		s.endFaults(time.Now())
 		s.checkConfig()
--- a/io/side/confirm.go
+++ b/io/side/confirm.go
@@ -24,7 +24,7 @@
 	candidateTimeout = 10 * clock.Second
 	// departureTimeout is how long a worker may answer after its deregistration before that is
 	// ignored: its process ends at once if it gets the reply.
-	departureTimeout = 4 * clock.Second
+	departureTimeout = 2 * clock.Second
 )
 
 // verdict is what a worker's answer says about an incarnation.
