--- a/io/side/confirm.go
+++ b/io/side/confirm.go
@@ -194,6 +194,9 @@
 	s.endpoint, s.largest = &e, e.Capacity
 	s.gone, s.leftAt, s.contradicted, s.heldFence = false, 0, false, 0
 	s.watch.Heard(now, e.Draining, e.remainingAt(now))
+	if s.cancelHold != nil {
+		s.cancelHold()
+	}
 	s.announceEndpoint()
 }
 
--- a/io/side/confirm_test.go
+++ b/io/side/confirm_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"testing"
+	"time"
 
 	qt "github.com/frankban/quicktest"
 
@@ -193,3 +194,53 @@
 	_, open := <-s.conn.Done()
 	c.Check(open, qt.IsFalse)
 }
+
+// waitingWorker answers a hold call only when its wait is over, whichever incarnation it is meant for.
+type waitingWorker struct {
+	acceptingWorker
+	calls chan HoldRequest
+}
+
+func (w *waitingWorker) Hold(ctx context.Context, h HoldRequest) (HoldReply, error) {
+	if h.Wait > 0 {
+		w.calls <- h
+		select {
+		case <-ctx.Done():
+			return HoldReply{}, ctx.Err()
+		case <-time.After(h.Wait.Duration()):
+		}
+	}
+	return w.acceptingWorker.Hold(ctx, h)
+}
+
+// Guards against late orders that the next incarnation carries out, and against workers that stand idle after
+// a crash: a call for the last incarnation's lists kept the side from calling the next one, under
+// its fence, for almost a second.
+func TestANewIncarnationIsCalledAtOnce(t *testing.T) {
+	c := qt.New(t)
+	p := newFakePlanner(t)
+	s, _ := newSide()
+	w := &waitingWorker{calls: make(chan HoldRequest, 10)}
+	w.there = incarnation(5)
+	s.Worker, s.Clock, s.Fronts = w, clock.System(), []string{p.addr}
+	c.Assert(s.Start(context.Background(), nil), qt.IsNil)
+	defer s.Stop(context.Background())
+	s.Heartbeat(Endpoint{Incarnation: incarnation(5), Seq: 1})
+	conn := <-p.conns
+	conn.Send(link.Frame{Grant: &plan.Grant{Epoch: 7, Incarnation: incarnation(5), Until: 5000}})
+	c.Assert((<-w.calls).Incarnation, qt.Equals, incarnation(5))
+	w.mu.Lock()
+	w.there = incarnation(6)
+	w.mu.Unlock()
+	s.Heartbeat(Endpoint{Incarnation: incarnation(6), Seq: 1})
+	conn.Send(link.Frame{Grant: &plan.Grant{Epoch: 7, Incarnation: incarnation(6), Until: 5000, Fence: 9}})
+	begun := time.Now()
+	for {
+		f, err := conn.Receive(clock.Second)
+		c.Assert(err, qt.IsNil)
+		if f.Report != nil && f.Report.Fence == 9 {
+			break
+		}
+	}
+	c.Check(time.Since(begun) < holdWait.Duration()/2, qt.IsTrue, qt.Commentf("after %s", time.Since(begun)))
+}
--- a/io/side/side.go
+++ b/io/side/side.go
@@ -109,25 +109,26 @@
 	Log        *slog.Logger
 
 	mu             sync.Mutex
-	endpoint       *Endpoint        // as the worker has confirmed
-	candidate      *Endpoint        // has announced itself and is not confirmed, or nil
-	predecessor    task.Incarnation // that the endpoint has replaced, if any
-	contradicted   bool             // another incarnation than the endpoint's is at the worker's address
-	leftAt         clock.Millis     // when the endpoint deregistered, on the monotonic clock; 0 if it has not
-	largest        task.Resources   // most of each resource that the endpoint's incarnation has said to have
-	startedAt      clock.Millis     // when this process started, on the monotonic clock
-	watch          lease.Watch      // of the endpoint's incarnation
-	handoverAt     clock.Millis     // when a handover was last sent
-	gone           bool             // the process of the endpoint's incarnation is gone
-	departed       *plan.ReportMsg  // of the last incarnation that deregistered
-	conn           *link.Conn       // to the planner, or nil
-	attachedAt     clock.Millis     // when that connection was made, on the monotonic clock
-	epoch          int64            // of the planner last connected to
-	grant          plan.Grant       // the last one
-	heldFence      int64            // fence of the last hold call that the endpoint answered
-	speed          workerSpeed      // kept for the next planner
-	answeredOrders int64            // orders that the worker has answered or the side has refused
-	changed        chan struct{}    // closed by notifyChanged
+	endpoint       *Endpoint          // as the worker has confirmed
+	candidate      *Endpoint          // has announced itself and is not confirmed, or nil
+	predecessor    task.Incarnation   // that the endpoint has replaced, if any
+	contradicted   bool               // another incarnation than the endpoint's is at the worker's address
+	leftAt         clock.Millis       // when the endpoint deregistered, on the monotonic clock; 0 if it has not
+	largest        task.Resources     // most of each resource that the endpoint's incarnation has said to have
+	startedAt      clock.Millis       // when this process started, on the monotonic clock
+	watch          lease.Watch        // of the endpoint's incarnation
+	handoverAt     clock.Millis       // when a handover was last sent
+	gone           bool               // the process of the endpoint's incarnation is gone
+	departed       *plan.ReportMsg    // of the last incarnation that deregistered
+	conn           *link.Conn         // to the planner, or nil
+	attachedAt     clock.Millis       // when that connection was made, on the monotonic clock
+	epoch          int64              // of the planner last connected to
+	grant          plan.Grant         // the last one
+	heldFence      int64              // fence of the last hold call that the endpoint answered
+	cancelHold     context.CancelFunc // of the last hold call, or nil
+	speed          workerSpeed        // kept for the next planner
+	answeredOrders int64              // orders that the worker has answered or the side has refused
+	changed        chan struct{}      // closed by notifyChanged
 	cancel         context.CancelFunc
 	wg             sync.WaitGroup
 }
@@ -293,12 +294,13 @@
 		if !ok {
 			return
 		}
-		call, cancel := context.WithTimeout(ctx, (p.hold.Wait + holdTimeout).Duration())
-		lists, err := s.Worker.Hold(call, p.hold)
-		cancel()
+		lists, err := s.hold(ctx, p.hold)
 		if ctx.Err() != nil {
 			return
 		}
+		if s.superseded(p.hold.Incarnation) {
+			continue
+		}
 		if err != nil {
 			if !lost {
 				s.Log.Warn("worker_lost", "endpoint", p.hold.Incarnation.ID, "epoch", p.hold.Epoch, "error", err)
@@ -306,7 +308,7 @@
 			lost = true
 			s.closeIfStale(p, err)
 			s.sendHandover(p, err)
-			sleep(ctx, retryDelay)
+			s.awaitRetry(ctx, p.hold.Incarnation)
 			continue
 		}
 		if lost {
@@ -317,6 +319,47 @@
 	}
 }
 
+// hold calls the worker. The call ends when another incarnation becomes the endpoint: under the same
+// ID, that one would answer only once its wait is over.
+func (s *Side) hold(ctx context.Context, h HoldRequest) (HoldReply, error) {
+	ctx, cancel := context.WithTimeout(ctx, (h.Wait + holdTimeout).Duration())
+	defer cancel()
+	s.mu.Lock()
+	s.cancelHold = cancel
+	s.mu.Unlock()
+	if s.superseded(h.Incarnation) {
+		cancel() // it was before cancelHold was set
+	}
+	return s.Worker.Hold(ctx, h)
+}
+
+// awaitRetry waits for retryDelay, or until an incarnation is not the endpoint's any more.
+func (s *Side) awaitRetry(ctx context.Context, i task.Incarnation) {
+	timeout := time.After(retryDelay)
+	for {
+		s.mu.Lock()
+		changed, superseded := s.changed, s.endpoint == nil || s.endpoint.Incarnation != i
+		s.mu.Unlock()
+		if superseded {
+			return
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-timeout:
+			return
+		case <-changed:
+		}
+	}
+}
+
+// superseded reports whether an incarnation is not the endpoint's.
+func (s *Side) superseded(i task.Incarnation) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.endpoint == nil || s.endpoint.Incarnation != i
+}
+
 // sendReport reports the lists and waits up to grantTimeout for a change after
 // which the planner's grant acknowledges all listed ends, or the connection is
 // lost.
@@ -326,7 +369,7 @@
 	r.Running, r.Ended, r.EndsCut = lists.Running, lists.Ended, lists.EndsCut
 	if lists.StartedAt != 0 && lists.StartedAt != p.hold.Incarnation.StartedAt {
 		s.contradict(p.hold.Incarnation)
-		sleep(ctx, retryDelay) // the next heartbeat brings the new incarnation
+		s.awaitRetry(ctx, p.hold.Incarnation) // the next heartbeat brings the new incarnation
 		return
 	}
 	s.mu.Lock()
@@ -356,7 +399,7 @@
 		case <-changed:
 		}
 		s.mu.Lock()
-		done := s.grant.AckedThrough >= last || s.conn == nil
+		done := s.grant.AckedThrough >= last || s.conn == nil || s.endpoint == nil || s.endpoint.Incarnation != r.Incarnation
 		changed = s.changed
 		s.mu.Unlock()
 		if done {
