The keepalive test waits until its endpoint is confirmed

TestASideWhoseWorkerIsLostKeepsItsPlanner failed once beside load, and in 2 of 72 runs beside 24 busy processes: '0 handovers'. The test let its worker fail as soon as the side had found the planner; if the side had not asked the worker by then, it knew of no endpoint, and had nothing to hand over. The test now waits for the first report.

--- a/io/side/keepalive_test.go
+++ b/io/side/keepalive_test.go
@@ -25,6 +25,11 @@
 	defer s.Stop(context.Background())
 	s.Heartbeat(Endpoint{Incarnation: incarnation(5), Seq: 1})
 	conn := <-p.conns
+	for confirmed := false; !confirmed; {
+		f, err := conn.Receive(clock.Second)
+		c.Assert(err, qt.IsNil)
+		confirmed = f.Report != nil
+	}
 	w.mu.Lock()
 	w.err = fault.New(fault.StoreUnavailable, "", "time-out")
 	w.mu.Unlock()
