--- a/review/rig2/cases.go
+++ b/review/rig2/cases.go
@@ -258,6 +258,9 @@
 	return held, nil
 }
 
+// goodRun is for how long a run goes on well before its executor crashes.
+const goodRun = 15 * time.Second
+
 // blamedCase lets the only executor on which a job can run crash several times, each time after
 // the job's task has run well for a while.
 func blamedCase(r *record, trouble bool) (int, error) {
@@ -286,9 +289,9 @@
 			break
 		}
 		r.note("executor %s runs %v", x.id, x.running())
-		time.Sleep(8 * time.Second)
+		time.Sleep(goodRun)
 		if trouble {
-			r.note("executor %s crashes, the %d. time, after the run has lasted for 8 s; it is back 2 s later", x.id, i+1)
+			r.note("executor %s crashes, the %d. time, after the run has lasted for %s; it is back 2 s later", x.id, i+1, goodRun)
 			if err := x.crash(2 * time.Second); err != nil {
 				return notRun, err
 			}
--- a/review/rig2/main.go
+++ b/review/rig2/main.go
@@ -15,11 +15,14 @@
 
 // cases are the scripted cases by name. A case returns its exit code.
 var cases = map[string]func(r *record, trouble bool) (int, error){
-	"link":   linkCase,
-	"partly": partlyFreeCase,
-	"miss":   mayMissCase,
-	"blamed": blamedCase,
-	"rack":   rackCase,
+	"link":      linkCase,
+	"partly":    partlyFreeCase,
+	"miss":      mayMissCase,
+	"blamed":    blamedCase,
+	"lasting":   lastingCase,
+	"rack-gang": rackGangCase,
+	"innocent":  innocentCase,
+	"rack":      rackCase,
 }
 
 // main plays the case that the first argument names and writes the record to the second.
