review: case 6 at the rate of a burst

Cause: 16 large jobs at once were more than the burst of the sites, and the runs without the disruption had another link. Change: jobs come at 2.6 times the usual rate, without the disruption at the usual rate, both on links of 10 Mbit/s.

--- a/review/rig2/cases.go
+++ b/review/rig2/cases.go
@@ -2,9 +2,9 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"slices"
 	"strings"
-	"sync"
 	"time"
 
 	"gypsumcrank/internal/standin/plat"
@@ -86,36 +86,47 @@
 	return starved
 }
 
-// linkCase has fronts with the narrowest link of the sheets while a burst of large jobs comes.
+// linkCase has fronts with the narrowest link of the sheets. Jobs come at the rate of a burst, or
+// without the trouble at the usual rate, and all their tasks end at about the same time.
 func linkCase(r *record, trouble bool) (int, error) {
 	const (
-		jobs  = 16
-		tasks = 500
+		mbps   = 10
+		tasks  = 500
+		period = 40 * time.Second
 	)
+	perSecond := 0.157
+	if trouble {
+		perSecond *= 2.6
+	}
 	w, err := newWorld(r, maxValue)
 	if err != nil {
 		return notRun, err
 	}
 	defer w.close()
-	mbps := 1000.0
-	if trouble {
-		mbps = 10
-	}
-	r.note("links of the fronts: %.0f Mbit/s", mbps)
-	if err := setUp(r, mbps, w, 11, nil); err != nil {
+	r.note("links of the fronts: %d Mbit/s; %.2f jobs of %d tasks a second", mbps, perSecond, tasks)
+	var end time.Time // of the tasks of the large jobs
+	if err := setUp(r, mbps, w, 11, func(e *plat.Executor) {
+		e.RunTimeOf = func(task string) time.Duration {
+			if strings.HasPrefix(task, "bbbb") {
+				return max(time.Second, time.Until(end)) + rand.N(time.Second)
+			}
+			return 2 * time.Second
+		}
+	}); err != nil {
 		return notRun, err
 	}
-	job := fmt.Sprintf(`{"task_spec":"index","steps":[{"count":%d,"cpu":100,"mem_mb":200,"estimate_ms":2000}]}`, tasks)
-	var clients sync.WaitGroup
-	for i := range jobs {
-		clients.Add(1)
-		go func() {
-			defer clients.Done()
-			w.submit("key-acme", fmt.Sprintf("/batch/bbbb0000000000%02x", i), job, 10*time.Second)
-		}()
-	}
-	clients.Wait()
-	time.Sleep(5 * time.Second)
+	end = time.Now().Add(period + 3*time.Second)
+	job := fmt.Sprintf(`{"task_spec":"index","steps":[{"count":%d,"cpu":100,"mem_mb":200,"estimate_ms":30000}]}`, tasks)
+	jobs := 0
+	for began := time.Now(); time.Since(began) < period; jobs++ {
+		if !w.submit("key-acme", fmt.Sprintf("/batch/bbbb0000000000%02x", jobs), job, 10*time.Second) {
+			return notRun, fmt.Errorf("a large job was not accepted")
+		}
+		time.Sleep(time.Until(began.Add(time.Duration(float64(jobs+1) / perSecond * float64(time.Second)))))
+	}
+	all, _ := w.running("")
+	r.note("%d large jobs accepted; runs on all executors %d", jobs, all)
+	time.Sleep(time.Until(end.Add(3 * time.Second)))
 	var ids []string
 	for i := range 3 {
 		id := fmt.Sprintf("cccc0000000000c%d", i)
