--- a/review/rig2/cases.go
+++ b/review/rig2/cases.go
@@ -92,11 +92,11 @@
 	const (
 		mbps   = 10
 		tasks  = 500
-		period = 40 * time.Second
+		period = 6 * time.Second
 	)
-	perSecond := 0.157
+	perSecond := 1.26
 	if trouble {
-		perSecond *= 2.6
+		perSecond *= 2.1
 	}
 	w, err := newWorld(r, maxValue)
 	if err != nil {
@@ -115,7 +115,7 @@
 	}); err != nil {
 		return notRun, err
 	}
-	end = time.Now().Add(period + 3*time.Second)
+	end = time.Now().Add(period + 8*time.Second)
 	job := fmt.Sprintf(`{"task_spec":"index","steps":[{"count":%d,"cpu":100,"mem_mb":200,"estimate_ms":30000}]}`, tasks)
 	jobs := 0
 	for began := time.Now(); time.Since(began) < period; jobs++ {
@@ -124,6 +124,7 @@
 		}
 		time.Sleep(time.Until(began.Add(time.Duration(float64(jobs+1) / perSecond * float64(time.Second)))))
 	}
+	time.Sleep(2 * time.Second)
 	all, _ := w.running("")
 	r.note("%d large jobs accepted; runs on all executors %d", jobs, all)
 	time.Sleep(time.Until(end.Add(3 * time.Second)))
