A listener goes on after a failed accept

What callers saw: a crowd of clients that open connections and send nothing takes all descriptors of a front, and once it has left, callers are still not served: they connect and wait for ever. So do probes of the load balancer and the sides. The process lives, so nothing restarts it.

Cause: hertz's accept loop returns at the first error of accept, and so does the link's (steer.runAccept). Accept fails when the process has no descriptor left (EMFILE), which passes. Nobody calls it again.

Fix: io/guard has a listener whose Accept fails only once it is closed. After any other error it waits, from 5 ms up to a second, and tries again. All HTTP servers and the link use it.

--- a/cmd/gypsumcrank/field.go
+++ b/cmd/gypsumcrank/field.go
@@ -17,6 +17,7 @@
 	"gypsumcrank/core/route"
 	"gypsumcrank/core/task"
 	"gypsumcrank/internal/standin/plat"
+	"gypsumcrank/io/guard"
 	"gypsumcrank/platform"
 )
 
@@ -179,7 +180,7 @@
 	if err := freeAddrs(&settings.Control); err != nil {
 		return err
 	}
-	k, _ := newSide(settings, log.With("process", settings.Node))
+	k, _ := newSide(settings, &guard.Guard{Log: log}, log.With("process", settings.Node))
 	h.wg.Add(2)
 	go h.runSide(ctx, k)
 	go h.runHeartbeats(ctx, w, settings.Control)
--- a/cmd/gypsumcrank/front.go
+++ b/cmd/gypsumcrank/front.go
@@ -17,6 +17,7 @@
 	"gypsumcrank/core/route"
 	"gypsumcrank/core/task"
 	"gypsumcrank/io/front"
+	"gypsumcrank/io/guard"
 	"gypsumcrank/io/httpd"
 	"gypsumcrank/io/link"
 	"gypsumcrank/io/mirror"
@@ -52,11 +53,12 @@
 	metricsAddr  string // address where metrics are served; none if empty
 	workerSpeeds bool   // placement takes the speeds of workers into account
 	announced    string // address at which other processes reach this front
+	guard        *guard.Guard
 }
 
 func newFrontDaemon(settings platform.Settings, announce string, log *slog.Logger) *frontDaemon {
 	direct := platform.NewKV(settings.Store)
-	d := &frontDaemon{settings: settings, log: log, config: &route.Current{}, closed: &centre.Current{}, announced: announce, workerSpeeds: true}
+	d := &frontDaemon{settings: settings, log: log, config: &route.Current{}, closed: &centre.Current{}, announced: announce, guard: &guard.Guard{Log: log}, workerSpeeds: true}
 	if d.announced == "" {
 		d.announced = settings.Link
 	}
@@ -75,6 +77,7 @@
 			relay.Serve(c, d.relay.CallForPeer, d.jobMirror.ExpectRevision, d.takeForecast, first)
 		},
 		OnJobEnd:   d.notifyFronts,
+		Guard:      d.guard,
 		OnForecast: d.publishForecast,
 	}
 	d.ingress = &platform.Ingress{Config: d.config, Front: &front.Front{
@@ -167,13 +170,13 @@
 	k.Add("store", d.relay)
 	k.Add("jobs", d.jobMirror)
 	k.Add("config", d.configMirror)
-	callers := &httpd.Server{Addr: d.settings.Front, Log: d.log, Fallback: d.serve}
+	callers := &httpd.Server{Name: "callers", Addr: d.settings.Front, Log: d.log, Guard: d.guard, Fallback: d.serve}
 	k.Add("callers", callers)
-	ready := &httpd.Server{Addr: d.settings.Ready, Log: d.log}
+	ready := &httpd.Server{Name: "ready", Addr: d.settings.Ready, Log: d.log, Guard: d.guard}
 	ready.Handle("GET", platform.ReadyPath, d.ready)
 	k.Add("ready", ready)
 	k.Add("steer", d.steer)
-	addMetrics(k, d.metricsAddr, d.log)
+	addMetrics(k, d.metricsAddr, d.guard, d.log)
 	serving, stop := context.WithCancel(context.Background())
 	defer stop()
 	go d.runRegistration(serving)
--- a/cmd/gypsumcrank/platform.go
+++ b/cmd/gypsumcrank/platform.go
@@ -10,6 +10,7 @@
 
 	"gypsumcrank/core/clock"
 	"gypsumcrank/core/kern"
+	"gypsumcrank/io/guard"
 	"gypsumcrank/io/httpd"
 	"gypsumcrank/io/meter"
 	"gypsumcrank/io/side"
@@ -90,19 +91,20 @@
 	ctx, stop := signalContext()
 	defer stop()
 	log.Info("process_start", "role", "side", "control", settings.Control, "worker", settings.Worker)
-	k, s := newSide(settings, log)
+	g := &guard.Guard{Log: log}
+	k, s := newSide(settings, g, log)
 	settingsReloader := &reloader{lastRead: settings, log: log, apply: func(next platform.Settings) { s.AddFronts(next.Peers) }}
 	go settingsReloader.run(ctx)
-	addMetrics(k, c.MetricsListen, log)
+	addMetrics(k, c.MetricsListen, g, log)
 	err = k.Run(ctx)
 	log.Info("process_stop", "error", err)
 	return err
 }
 
 // newSide creates a side and a kernel with its services.
-func newSide(settings platform.Settings, log *slog.Logger) (*kern.Kernel, *side.Side) {
+func newSide(settings platform.Settings, g *guard.Guard, log *slog.Logger) (*kern.Kernel, *side.Side) {
 	s := &side.Side{Node: settings.Node, DataCentre: settings.DataCentre, Fronts: settings.Peers, Store: platform.NewKV(settings.Store), Worker: platform.NewWorker(settings.Worker), Log: log}
-	heartbeats := &httpd.Server{Addr: settings.Control, Log: log}
+	heartbeats := &httpd.Server{Name: "control", Addr: settings.Control, Log: log, Guard: g}
 	platform.ServeHeartbeats(heartbeats, s)
 	k := &kern.Kernel{Log: log}
 	k.Add("side", s)
@@ -112,11 +114,11 @@
 
 // addMetrics serves the process's metrics as text at addr; an empty addr serves
 // none.
-func addMetrics(k *kern.Kernel, addr string, log *slog.Logger) {
+func addMetrics(k *kern.Kernel, addr string, g *guard.Guard, log *slog.Logger) {
 	if addr == "" {
 		return
 	}
-	srv := &httpd.Server{Addr: addr, Log: log}
+	srv := &httpd.Server{Name: "metrics", Addr: addr, Log: log, Guard: g}
 	srv.Handle("GET", "/metrics", func(_ context.Context, r *httpd.Request) {
 		var b bytes.Buffer
 		if err := meter.Write(&b); err != nil {
--- a/io/agent/agent.go
+++ b/io/agent/agent.go
@@ -73,7 +73,7 @@
 		return err
 	}
 	a.node = &wire.Node{Addr: a.PeerListen, TLS: conf, Mux: a.mux()}
-	a.http = &httpd.Server{Addr: a.HTTPListen, Log: a.Log}
+	a.http = &httpd.Server{Name: "http", Addr: a.HTTPListen, Log: a.Log}
 	a.routes()
 	k := &kern.Kernel{Log: a.Log, StopContext: a.grace}
 	k.Add("control", &controlService{agent: a})
--- a/io/httpd/httpd.go
+++ b/io/httpd/httpd.go
@@ -26,6 +26,7 @@
 	"gypsumcrank/core/clock"
 	"gypsumcrank/core/fault"
 	"gypsumcrank/core/kern"
+	"gypsumcrank/io/guard"
 )
 
 // Limits of the server.
@@ -45,8 +46,10 @@
 // Server is an HTTP server that runs as a service of a kern.Kernel. Set the
 // exported fields before Start.
 type Server struct {
-	Addr string
-	Log  *slog.Logger
+	Name  string // of the listener, in metrics and logs
+	Addr  string
+	Log   *slog.Logger
+	Guard *guard.Guard // of the process; nil if the server has its own
 	// Fallback, if set, handles requests that match no registered path.
 	Fallback Handler
 
@@ -78,7 +81,10 @@
 // Start opens the listening socket and starts serving.
 func (s *Server) Start(context.Context, *kern.Kernel) error {
 	redirectLogs()
-	ln, err := net.Listen("tcp", s.Addr)
+	if s.Guard == nil {
+		s.Guard = &guard.Guard{Log: s.Log}
+	}
+	ln, err := s.Guard.Listen(s.Name, s.Addr)
 	if err != nil {
 		return fault.New(fault.Invalid, "choose a free port on this host", "--http-listen %q: %v", s.Addr, err)
 	}
--- a/io/steer/steer.go
+++ b/io/steer/steer.go
@@ -20,6 +20,7 @@
 	"gypsumcrank/core/plan"
 	"gypsumcrank/core/route"
 	"gypsumcrank/io/front"
+	"gypsumcrank/io/guard"
 	"gypsumcrank/io/link"
 	"gypsumcrank/io/mirror"
 	"gypsumcrank/io/store"
@@ -83,6 +84,8 @@
 	OnJobEnd func(rev int64)
 	// OnForecast is called with the planner's forecast at intervals.
 	OnForecast func(f *admit.Forecast)
+	// Guard protects the listener; nil if it has one of its own.
+	Guard *guard.Guard
 
 	mu       sync.Mutex
 	term     *term
@@ -93,7 +96,10 @@
 
 // Start opens the listener and starts to campaign.
 func (s *Coordinator) Start(context.Context, *kern.Kernel) error {
-	ln, err := net.Listen("tcp", s.Addr)
+	if s.Guard == nil {
+		s.Guard = &guard.Guard{Log: s.Log}
+	}
+	ln, err := s.Guard.Listen("link", s.Addr)
 	if err != nil {
 		return fault.New(fault.Invalid, "choose a free port on this host", "listen for sides on %q: %v", s.Addr, err)
 	}
