Connections that clients leave open give way to others

What callers saw: clients that open connections and send nothing, or stay after an ordinary request, or reset their connections at once, take all descriptors of a front or a side. Ordinary callers, the load balancer's probes, the executor's heartbeats and the sides then get no answer.

Cause: the only bound was 4,096 connections for each HTTP server, above what a host has for all its sockets (max_fds less 200), and none for the link. A server that had reached its bound accepted nobody until somebody left, and the first request of a connection had no time limit: hertz sets one only from the second request on.

At the bound the connection that has kept the process waiting for longest is closed. One whose request is being handled is not; if all are, accept waits. hertz gets its connections from a transport of ours, which says when a connection waits for its client, and which passes a connection to hertz only when something has come. A response that is not taken for 10 s ends its connection. Counted: connections_dropped; logged once in 10 s.

Tests: TestCrowd plays crowds against each listener of a front and a side, as processes with 64 MB and 328 descriptors, and checks that the process lives, stays within them (unread bytes included) and serves an ordinary request beside the crowd and after it. silent, silent_kept_alive and reset_before_answer failed before on callers, ready, control and metrics, silent and silent_after_hello on link; TestCrowdWithoutDescriptors failed on callers and ready.

--- /dev/null
+++ b/cmd/gypsumcrank/crowd_http_test.go
@@ -0,0 +1,130 @@
+package main
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"time"
+
+	"gypsumcrank/platform"
+)
+
+// crowdRequests are the beginnings of an ordinary request with a body, by listener.
+var crowdRequests = map[string]string{
+	"callers": "POST /q/00000000000000c1 HTTP/1.1\r\nHost: jobs.example\r\nAuthorization: Bearer k1\r\nContent-Type: application/json\r\n",
+	"control": "POST /v1/executors/i-0/heartbeat HTTP/1.1\r\nHost: side\r\nContent-Type: application/json\r\n",
+	"ready":   "POST " + platform.ReadyPath + " HTTP/1.1\r\nHost: front\r\n",
+	"metrics": "POST /metrics HTTP/1.1\r\nHost: front\r\n",
+}
+
+// crowdQueries are whole ordinary requests without a body, by listener.
+var crowdQueries = map[string]string{
+	"callers": "GET /q/ HTTP/1.1\r\nHost: jobs.example\r\nAuthorization: Bearer k1\r\n\r\n",
+	"control": "POST /v1/executors/x-none/deregister HTTP/1.1\r\nHost: side\r\nContent-Length: 2\r\n\r\n{}",
+	"ready":   "GET " + platform.ReadyPath + " HTTP/1.1\r\nHost: front\r\n\r\n",
+	"metrics": "GET /metrics HTTP/1.1\r\nHost: front\r\n\r\n",
+}
+
+func crowdListeners() []crowdListener {
+	return []crowdListener{
+		{"callers", "front-0", func(d *daemon) string { return d.addr }, askHTTP("callers"), httpCrowds()},
+		{"ready", "front-0", func(d *daemon) string { return d.ready }, askHTTP("ready"), httpCrowds()},
+		{"control", "side-0", func(d *daemon) string { return d.addr }, askHTTP("control"), httpCrowds()},
+		{"metrics", "side-0", func(d *daemon) string { return d.metrics }, askHTTP("metrics"), httpCrowds()},
+		{"link", "front-0", func(d *daemon) string { return d.link }, askLink, linkCrowds()},
+	}
+}
+
+// askHTTP returns a function that makes an ordinary request to a listener.
+func askHTTP(listener string) func(addr string) error {
+	return func(addr string) error {
+		c, err := net.DialTimeout("tcp", addr, crowdTryTimeout)
+		if err != nil {
+			return err
+		}
+		defer c.Close()
+		return query(c, listener)
+	}
+}
+
+// query makes an ordinary request on a connection, and returns an error unless it is served.
+func query(c net.Conn, listener string) error {
+	_ = c.SetDeadline(time.Now().Add(crowdTryTimeout))
+	defer func() { _ = c.SetDeadline(time.Time{}) }()
+	if _, err := io.WriteString(c, crowdQueries[listener]); err != nil {
+		return err
+	}
+	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+	if err != nil {
+		return err
+	}
+	defer resp.Body.Close()
+	if _, err := io.Copy(io.Discard, resp.Body); err != nil {
+		return err
+	}
+	if resp.StatusCode != http.StatusOK {
+		return fmt.Errorf("status %d", resp.StatusCode)
+	}
+	return nil
+}
+
+// Sizes of what the crowds send on one connection, in bytes.
+const (
+	crowdFar   = 4 << 20       // far over every limit
+	crowdShort = 1<<20 - 1<<10 // just within the limit of a body
+)
+
+// begin sends the beginning of a request. Every other client makes an ordinary request on the
+// connection first, so that the connection has been kept alive.
+func (c *crowdClient) begin(headers string) bool {
+	if c.number%2 == 1 && query(c, c.listener) != nil {
+		return false
+	}
+	return c.send(crowdRequests[c.listener] + headers)
+}
+
+// repeat sends text again and again until the given number of bytes is sent.
+func (c *crowdClient) repeat(text string, bytes int) bool {
+	block := strings.Repeat(text, max(1, min(bytes, 16<<10)/len(text)))
+	for sent := 0; sent < bytes; sent += len(block) {
+		if !c.send(block) {
+			return false
+		}
+	}
+	return true
+}
+
+// trickle sends text byte by byte.
+func (c *crowdClient) trickle(text string) bool {
+	for i := range len(text) {
+		if !c.send(text[i : i+1]) {
+			return false
+		}
+	}
+	return true
+}
+
+// httpCrowds returns the crowds that are played against each HTTP listener.
+func httpCrowds() []crowd {
+	const clients = 96
+	return []crowd{
+		{"far_body_announced", clients, 2, func(c *crowdClient) { _ = c.begin("Content-Length: 1073741824\r\n\r\n") && c.repeat("a", crowdFar) }},
+		{"unread_answers", clients, 1, func(c *crowdClient) { c.repeat(crowdQueries[c.listener], crowdShort) }},
+		{"slow_body", clients, 1, func(c *crowdClient) {
+			_ = c.begin(fmt.Sprintf("Content-Length: %d\r\n\r\n", crowdShort)) && c.trickle(strings.Repeat("a", 8<<10))
+		}},
+		{"reset_before_answer", clients, 10, func(c *crowdClient) { _ = c.send(crowdQueries[c.listener]); c.resetOnClose() }},
+		{"silent", 3 * crowdMaxSockets, 1, func(*crowdClient) {}},
+		{"silent_kept_alive", 3 * crowdMaxSockets, 1, func(c *crowdClient) { _ = query(c, c.listener) }},
+	}
+}
+
+// resetOnClose makes the end of the connection a reset.
+func (c *crowdClient) resetOnClose() {
+	if tcp, ok := c.Conn.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0)
+	}
+}
--- a/cmd/gypsumcrank/field.go
+++ b/cmd/gypsumcrank/field.go
@@ -17,7 +17,6 @@
 	"gypsumcrank/core/route"
 	"gypsumcrank/core/task"
 	"gypsumcrank/internal/standin/plat"
-	"gypsumcrank/io/guard"
 	"gypsumcrank/platform"
 )
 
@@ -85,7 +84,7 @@
 		if err := freeAddrs(&settings.Front, &settings.Ready, &settings.Link); err != nil {
 			return err
 		}
-		d := newFrontDaemon(settings, "", log.With("process", settings.Node))
+		d := newFrontDaemon(settings, "", clientFlags{}, log.With("process", settings.Node))
 		d.config.Apply(h.config)
 		h.fronts = append(h.fronts, d)
 		h.wg.Add(1)
@@ -180,7 +179,7 @@
 	if err := freeAddrs(&settings.Control); err != nil {
 		return err
 	}
-	k, _ := newSide(settings, &guard.Guard{Log: log}, log.With("process", settings.Node))
+	k, _ := newSide(settings, newListeners(clientFlags{}, settings, log), log.With("process", settings.Node))
 	h.wg.Add(2)
 	go h.runSide(ctx, k)
 	go h.runHeartbeats(ctx, w, settings.Control)
--- a/cmd/gypsumcrank/front.go
+++ b/cmd/gypsumcrank/front.go
@@ -17,7 +17,6 @@
 	"gypsumcrank/core/route"
 	"gypsumcrank/core/task"
 	"gypsumcrank/io/front"
-	"gypsumcrank/io/guard"
 	"gypsumcrank/io/httpd"
 	"gypsumcrank/io/link"
 	"gypsumcrank/io/mirror"
@@ -53,12 +52,12 @@
 	metricsAddr  string // address where metrics are served; none if empty
 	workerSpeeds bool   // placement takes the speeds of workers into account
 	announced    string // address at which other processes reach this front
-	guard        *guard.Guard
+	listeners    listeners
 }
 
-func newFrontDaemon(settings platform.Settings, announce string, log *slog.Logger) *frontDaemon {
+func newFrontDaemon(settings platform.Settings, announce string, clients clientFlags, log *slog.Logger) *frontDaemon {
 	direct := platform.NewKV(settings.Store)
-	d := &frontDaemon{settings: settings, log: log, config: &route.Current{}, closed: &centre.Current{}, announced: announce, guard: &guard.Guard{Log: log}, workerSpeeds: true}
+	d := &frontDaemon{settings: settings, log: log, config: &route.Current{}, closed: &centre.Current{}, announced: announce, listeners: newListeners(clients, settings, log), workerSpeeds: true}
 	if d.announced == "" {
 		d.announced = settings.Link
 	}
@@ -72,12 +71,12 @@
 	d.config.Freshness, d.closed.ConfirmedAt = d.configMirror.Freshness, d.configMirror.ConfirmedAt
 	d.config.Stretch = d.configStretch
 	d.steer = &steer.Coordinator{
-		Node: settings.Node, Addr: settings.Link, Announce: d.announced, Store: d.store, Mirror: d.jobMirror, Index: d.index, Config: d.config, Closed: d.closed, Plan: d.planSettings(settings), LeaseMin: settings.LeaseMin, Log: log,
+		Node: settings.Node, Announce: d.announced, Store: d.store, Mirror: d.jobMirror, Index: d.index, Config: d.config, Closed: d.closed, Plan: d.planSettings(settings), LeaseMin: settings.LeaseMin, Log: log,
 		ServePeer: func(c *link.Conn, first link.Frame) {
 			relay.Serve(c, d.relay.CallForPeer, d.jobMirror.ExpectRevision, d.takeForecast, first)
 		},
 		OnJobEnd:   d.notifyFronts,
-		Guard:      d.guard,
+		Listener:   d.listeners.listen(linkListener, settings.Link),
 		OnForecast: d.publishForecast,
 	}
 	d.ingress = &platform.Ingress{Config: d.config, Front: &front.Front{
@@ -170,13 +169,13 @@
 	k.Add("store", d.relay)
 	k.Add("jobs", d.jobMirror)
 	k.Add("config", d.configMirror)
-	callers := &httpd.Server{Name: "callers", Addr: d.settings.Front, Log: d.log, Guard: d.guard, Fallback: d.serve}
+	callers := &httpd.Server{Listener: d.listeners.listen(callerListener, d.settings.Front), Log: d.log, Fallback: d.serve}
 	k.Add("callers", callers)
-	ready := &httpd.Server{Name: "ready", Addr: d.settings.Ready, Log: d.log, Guard: d.guard}
+	ready := &httpd.Server{Listener: d.listeners.listen(readyListener, d.settings.Ready), Log: d.log}
 	ready.Handle("GET", platform.ReadyPath, d.ready)
 	k.Add("ready", ready)
 	k.Add("steer", d.steer)
-	addMetrics(k, d.metricsAddr, d.guard, d.log)
+	addMetrics(k, d.metricsAddr, d.listeners, d.log)
 	serving, stop := context.WithCancel(context.Background())
 	defer stop()
 	go d.runRegistration(serving)
--- /dev/null
+++ b/cmd/gypsumcrank/limits.go
@@ -0,0 +1,102 @@
+package main
+
+import (
+	"cmp"
+	"log/slog"
+	"strconv"
+
+	"golang.org/x/sys/unix"
+
+	"gypsumcrank/core/fault"
+	"gypsumcrank/io/guard"
+	"gypsumcrank/platform"
+)
+
+// clientFlags limit what the clients of a front or a side may take of its host. The zero value
+// stands for the defaults.
+type clientFlags struct {
+	MaxConnections int `default:"${max_connections}" help:"Maximum number of open connections of each listener; it is lower on a host with few descriptors or little memory."`
+}
+
+// defaultConnections is the default of --max-connections.
+const defaultConnections = 2048
+
+// clientDefaults returns the defaults of the flags by name.
+func clientDefaults() map[string]string {
+	return map[string]string{"max_connections": strconv.Itoa(defaultConnections)}
+}
+
+// minConnections is the smallest value of --max-connections.
+const minConnections = 1
+
+func (f clientFlags) check() error {
+	if f.MaxConnections < minConnections {
+		return fault.New(fault.Invalid, "give a larger number, or leave it out", "--max-connections must be at least %d, got %d", minConnections, f.MaxConnections)
+	}
+	return nil
+}
+
+// Shares of a host that the listeners of a process may take for their connections. They leave
+// descriptors to its own connections, and memory to all else.
+const (
+	// reservedFiles is how many of a host's descriptors are not for sockets.
+	reservedFiles = 200
+	// connectionMemory is what an open connection takes of the process.
+	connectionMemory = 24 << 10
+	// maxProbeConnections limits listeners that only a few clients use.
+	maxProbeConnections = 64
+)
+
+// listenerKind is a use of a listener.
+type listenerKind struct {
+	name        string
+	socketShare float64 // of the host's sockets
+	memoryShare float64 // of the host's memory
+	maxConns    int     // at most; 0 if only the flag says
+}
+
+// The listeners of fronts and sides.
+var (
+	callerListener  = listenerKind{name: "callers", socketShare: 1. / 2, memoryShare: 3. / 8}
+	controlListener = listenerKind{name: "control", socketShare: 1. / 2, memoryShare: 3. / 8}
+	linkListener    = listenerKind{name: "link", socketShare: 1. / 4, memoryShare: 1. / 4}
+	readyListener   = listenerKind{name: "ready", socketShare: 1. / 16, memoryShare: 1. / 32, maxConns: maxProbeConnections}
+	metricsListener = listenerKind{name: "metrics", socketShare: 1. / 16, memoryShare: 1. / 32, maxConns: maxProbeConnections}
+)
+
+// newListeners returns what makes the listeners of a process.
+func newListeners(flags clientFlags, settings platform.Settings, log *slog.Logger) listeners {
+	return listeners{flags, settings, &guard.Guard{Log: log}}
+}
+
+// listeners makes the listeners of one process.
+type listeners struct {
+	flags    clientFlags
+	settings platform.Settings
+	guard    *guard.Guard
+}
+
+// listen returns a listener of a kind, which is not open yet.
+func (l listeners) listen(k listenerKind, addr string) guard.Listener {
+	n := cmp.Or(l.flags.MaxConnections, defaultConnections)
+	if k.maxConns > 0 {
+		n = min(n, k.maxConns)
+	}
+	if sockets := l.sockets(); sockets > 0 {
+		n = min(n, int(float64(sockets)*k.socketShare))
+	}
+	if memory := l.settings.MemoryMB << 20; memory > 0 {
+		n = min(n, int(float64(memory)*k.memoryShare)/connectionMemory)
+	}
+	return guard.Listener{Name: k.name, Addr: addr, MaxConns: max(n, minConnections), Guard: l.guard}
+}
+
+// sockets returns how many sockets the process can open; 0 if that is not known.
+func (l listeners) sockets() int {
+	descriptors := l.settings.MaxFDs
+	var limit unix.Rlimit
+	if err := unix.Getrlimit(unix.RLIMIT_NOFILE, &limit); err == nil && (descriptors == 0 || limit.Cur < uint64(descriptors)) {
+		descriptors = int(min(limit.Cur, 1<<20))
+	}
+	return max(0, descriptors-reservedFiles)
+}
--- a/cmd/gypsumcrank/main.go
+++ b/cmd/gypsumcrank/main.go
@@ -87,6 +87,7 @@
 		kong.Description("A scheduler for multi-accelerator jobs under client account guarantees.\n\nEvery flag can also be set by an environment variable, GYPSUMCRANK_ and the flag's name."),
 		kong.DefaultEnvars("GYPSUMCRANK"),
 		kong.Vars{"version": version},
+		kong.Vars(clientDefaults()),
 		kong.UsageOnError(),
 	)
 	if err != nil {
--- a/cmd/gypsumcrank/platform.go
+++ b/cmd/gypsumcrank/platform.go
@@ -10,7 +10,6 @@
 
 	"gypsumcrank/core/clock"
 	"gypsumcrank/core/kern"
-	"gypsumcrank/io/guard"
 	"gypsumcrank/io/httpd"
 	"gypsumcrank/io/meter"
 	"gypsumcrank/io/side"
@@ -51,16 +50,24 @@
 
 // platformFlags are flags for settings that the platform's settings file lacks.
 type platformFlags struct {
+	clientFlags
 	MetricsListen string `help:"IP and port where metrics are served as text, at /metrics; none if empty."`
 }
 
+func (f platformFlags) check() error {
+	if err := checkAddr("metrics-listen", f.MetricsListen); err != nil {
+		return err
+	}
+	return f.clientFlags.check()
+}
+
 // Run serves callers until SIGTERM, and is the planner while elected.
 func (c *frontCmd) Run(log *slog.Logger) error {
 	settings, err := platform.LoadSettings()
 	if err != nil {
 		return err
 	}
-	if err := checkAddr("metrics-listen", c.MetricsListen); err != nil {
+	if err := c.check(); err != nil {
 		return err
 	}
 	if err := checkAddr("announce", c.Announce); err != nil {
@@ -69,7 +76,7 @@
 	limitRuntime(settings.MemoryMB)
 	ctx, stop := signalContext()
 	defer stop()
-	d := newFrontDaemon(settings, c.Announce, log.With("process", settings.Node))
+	d := newFrontDaemon(settings, c.Announce, c.clientFlags, log.With("process", settings.Node))
 	d.metricsAddr = c.MetricsListen
 	if !c.WorkerSpeeds {
 		d.workerSpeeds = false
@@ -86,25 +93,28 @@
 	if err != nil {
 		return err
 	}
+	if err := c.check(); err != nil {
+		return err
+	}
 	limitRuntime(settings.MemoryMB)
 	log = log.With("process", settings.Node)
 	ctx, stop := signalContext()
 	defer stop()
 	log.Info("process_start", "role", "side", "control", settings.Control, "worker", settings.Worker)
-	g := &guard.Guard{Log: log}
-	k, s := newSide(settings, g, log)
+	l := newListeners(c.clientFlags, settings, log)
+	k, s := newSide(settings, l, log)
 	settingsReloader := &reloader{lastRead: settings, log: log, apply: func(next platform.Settings) { s.AddFronts(next.Peers) }}
 	go settingsReloader.run(ctx)
-	addMetrics(k, c.MetricsListen, g, log)
+	addMetrics(k, c.MetricsListen, l, log)
 	err = k.Run(ctx)
 	log.Info("process_stop", "error", err)
 	return err
 }
 
 // newSide creates a side and a kernel with its services.
-func newSide(settings platform.Settings, g *guard.Guard, log *slog.Logger) (*kern.Kernel, *side.Side) {
+func newSide(settings platform.Settings, l listeners, log *slog.Logger) (*kern.Kernel, *side.Side) {
 	s := &side.Side{Node: settings.Node, DataCentre: settings.DataCentre, Fronts: settings.Peers, Store: platform.NewKV(settings.Store), Worker: platform.NewWorker(settings.Worker), Log: log}
-	heartbeats := &httpd.Server{Name: "control", Addr: settings.Control, Log: log, Guard: g}
+	heartbeats := &httpd.Server{Listener: l.listen(controlListener, settings.Control), Log: log}
 	platform.ServeHeartbeats(heartbeats, s)
 	k := &kern.Kernel{Log: log}
 	k.Add("side", s)
@@ -114,11 +124,11 @@
 
 // addMetrics serves the process's metrics as text at addr; an empty addr serves
 // none.
-func addMetrics(k *kern.Kernel, addr string, g *guard.Guard, log *slog.Logger) {
+func addMetrics(k *kern.Kernel, addr string, l listeners, log *slog.Logger) {
 	if addr == "" {
 		return
 	}
-	srv := &httpd.Server{Name: "metrics", Addr: addr, Log: log, Guard: g}
+	srv := &httpd.Server{Listener: l.listen(metricsListener, addr), Log: log}
 	srv.Handle("GET", "/metrics", func(_ context.Context, r *httpd.Request) {
 		var b bytes.Buffer
 		if err := meter.Write(&b); err != nil {
--- a/cmd/gypsumcrank/platform_test.go
+++ b/cmd/gypsumcrank/platform_test.go
@@ -86,6 +86,7 @@
 	checker   *plat.Checker
 	proxy     bool // each process reaches the store, and each side its executor, through a proxy
 	proxies   map[string]*plat.Proxy
+	limits    map[string]int // of each machine; nil for the usual ones
 }
 
 // daemon is the process of one front or side.
@@ -95,6 +96,8 @@
 	cmd      *exec.Cmd
 	addr     string // where callers connect to a front, or the executor to a side
 	ready    string
+	metrics  string
+	link     string // where other processes connect
 	out      *syncBuffer
 	announce string // for a front: where other processes connect
 }
@@ -203,11 +206,11 @@
 
 func (s *site) addProcessWith(role string, i int, app string) error {
 	name := fmt.Sprintf("%s-%d", role, i)
-	addrs, err := s.ports.takeAll(3)
+	addrs, err := s.ports.takeAll(4)
 	if err != nil {
 		return err
 	}
-	addr, link, ready := addrs[0], addrs[1], addrs[2]
+	addr, link, ready, metrics := addrs[0], addrs[1], addrs[2], addrs[3]
 	listen := map[string]string{"control": addr}
 	if role == "front" {
 		listen = map[string]string{"front": addr, "ready": ready}
@@ -224,15 +227,19 @@
 	if err != nil {
 		return err
 	}
+	limits := s.limits
+	if limits == nil {
+		limits = map[string]int{"memory_mb": 200}
+	}
 	raw, err := json.Marshal(map[string]any{
 		"node_name": name, "ip": "127.0.0.1", "zone": fmt.Sprintf("dc-%d", i%2), "listen_addrs": listen, "port_range": []int{port, port}, "app": app,
-		"platform": map[string]string{"address": storeAddr}, "limits": map[string]int{"memory_mb": 200},
+		"platform": map[string]string{"address": storeAddr}, "limits": limits,
 		"bounds": map[string]any{"grace_s": 6, "hold_max_ms": 6000, "status_s": 120, "stop_ms": 200, "reclaim_ms": 2700, "evacuate_ms": 5000},
 	})
 	if err != nil {
 		return err
 	}
-	d := &daemon{role: role, path: filepath.Join(s.dir, name+".json"), addr: addr, ready: ready, out: &syncBuffer{}}
+	d := &daemon{role: role, path: filepath.Join(s.dir, name+".json"), addr: addr, ready: ready, metrics: metrics, link: link, out: &syncBuffer{}}
 	if role == "front" {
 		if d.announce, err = s.viaProxy(name+"-link", link); err != nil {
 			return err
@@ -250,11 +257,24 @@
 
 func (d *daemon) run() error {
 	d.cmd = exec.Command("gypsumcrank", d.role)
-	d.cmd.Env = append(os.Environ(), platform.SettingsVar+"="+d.path, "GYPSUMCRANK_ANNOUNCE="+d.announce)
+	d.cmd.Env = append(os.Environ(), platform.SettingsVar+"="+d.path, "GYPSUMCRANK_ANNOUNCE="+d.announce, "GYPSUMCRANK_METRICS_LISTEN="+d.metrics)
 	d.cmd.Stdout, d.cmd.Stderr = d.out, d.out
 	return d.cmd.Start()
 }
 
+// ports returns the ports on which the process listens.
+func (d *daemon) ports() map[uint64]bool {
+	out := make(map[uint64]bool)
+	for _, addr := range []string{d.addr, d.ready, d.metrics, d.link} {
+		if _, text, err := net.SplitHostPort(addr); err == nil {
+			if port, err := strconv.ParseUint(text, 10, 16); err == nil {
+				out[port] = true
+			}
+		}
+	}
+	return out
+}
+
 func (s *site) close() {
 	for _, d := range s.procs {
 		_ = d.cmd.Process.Kill()
--- a/io/agent/agent.go
+++ b/io/agent/agent.go
@@ -19,6 +19,7 @@
 	"gypsumcrank/core/ledg"
 	"gypsumcrank/io/certs"
 	"gypsumcrank/io/endpt"
+	"gypsumcrank/io/guard"
 	"gypsumcrank/io/httpd"
 	"gypsumcrank/io/wire"
 )
@@ -73,7 +74,7 @@
 		return err
 	}
 	a.node = &wire.Node{Addr: a.PeerListen, TLS: conf, Mux: a.mux()}
-	a.http = &httpd.Server{Name: "http", Addr: a.HTTPListen, Log: a.Log}
+	a.http = &httpd.Server{Listener: guard.Listener{Name: "http", Addr: a.HTTPListen}, Log: a.Log}
 	a.routes()
 	k := &kern.Kernel{Log: a.Log, StopContext: a.grace}
 	k.Add("control", &controlService{agent: a})
--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -17,6 +17,7 @@
 	"gypsumcrank/core/fleet"
 	"gypsumcrank/core/kern"
 	"gypsumcrank/io/certs"
+	"gypsumcrank/io/guard"
 	"gypsumcrank/io/httpd"
 	"gypsumcrank/io/store"
 	"gypsumcrank/io/wire"
@@ -93,7 +94,7 @@
 	e.ctl = newControl(e)
 	e.loop = &kern.Loop{Model: e.ctl}
 	e.node = &wire.Node{Addr: e.PeerListen, TLS: conf, Mux: e.mux()}
-	e.http = &httpd.Server{Name: "http", Addr: e.HTTPListen, Log: e.Log}
+	e.http = &httpd.Server{Listener: guard.Listener{Name: "http", Addr: e.HTTPListen}, Log: e.Log}
 	e.peers = &peers{entry: e}
 	e.mirror = &mirror{entry: e}
 	e.planner = newPlanner(e)
--- a/io/httpd/httpd.go
+++ b/io/httpd/httpd.go
@@ -1,18 +1,18 @@
 // Package httpd is the HTTP server of the daemons: hertz with the limits, error
 // documents, logs and metrics that all daemons share.
 //
-//	s := &httpd.Server{Addr: "127.0.0.1:8080", Log: log}
+//	s := &httpd.Server{Listener: guard.Listener{Name: "callers", Addr: "127.0.0.1:8080"}, Log: log}
 //	s.Handle("GET", "/v1/ready", func(ctx context.Context, r *httpd.Request) { r.Text(200, "ready") })
 //	err := s.Start(ctx, kernel)
 package httpd
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"expvar"
 	"fmt"
 	"log/slog"
-	"net"
 	"strconv"
 	"strings"
 	"sync/atomic"
@@ -20,8 +20,8 @@
 
 	"github.com/cloudwego/hertz/pkg/app"
 	"github.com/cloudwego/hertz/pkg/app/server"
-	"github.com/cloudwego/hertz/pkg/network/standard"
-	"golang.org/x/net/netutil"
+	"github.com/cloudwego/hertz/pkg/common/config"
+	"github.com/cloudwego/hertz/pkg/network"
 
 	"gypsumcrank/core/clock"
 	"gypsumcrank/core/fault"
@@ -31,11 +31,12 @@
 
 // Limits of the server.
 const (
-	MaxBody        = 1 << 20 // bytes
-	MaxConnections = 4096
-	idleTimeout    = 60 * time.Second
-	readTimeout    = 30 * time.Second
-	drainTimeout   = 50 * time.Millisecond
+	MaxBody      = 1 << 20 // bytes
+	defaultConns = 4096    // open connections, if the listener has no limit
+	idleTimeout  = 60 * time.Second
+	readTimeout  = 30 * time.Second
+	writeTimeout = 10 * time.Second // of a client that doesn't take its response
+	drainTimeout = 50 * time.Millisecond
 )
 
 var (
@@ -46,15 +47,12 @@
 // Server is an HTTP server that runs as a service of a kern.Kernel. Set the
 // exported fields before Start.
 type Server struct {
-	Name  string // of the listener, in metrics and logs
-	Addr  string
-	Log   *slog.Logger
-	Guard *guard.Guard // of the process; nil if the server has its own
+	Listener guard.Listener // its name, its address and its limits
+	Log      *slog.Logger
 	// Fallback, if set, handles requests that match no registered path.
 	Fallback Handler
 
 	hertz    *server.Hertz
-	listener net.Listener
 	routes   []routeEntry
 	inFlight atomic.Int64
 	done     chan struct{}
@@ -81,18 +79,18 @@
 // Start opens the listening socket and starts serving.
 func (s *Server) Start(context.Context, *kern.Kernel) error {
 	redirectLogs()
-	if s.Guard == nil {
-		s.Guard = &guard.Guard{Log: s.Log}
+	if s.Listener.Guard == nil {
+		s.Listener.Guard = &guard.Guard{Log: s.Log}
 	}
-	ln, err := s.Guard.Listen(s.Name, s.Addr)
-	if err != nil {
-		return fault.New(fault.Invalid, "choose a free port on this host", "--http-listen %q: %v", s.Addr, err)
+	s.Listener.MaxConns = cmp.Or(s.Listener.MaxConns, defaultConns)
+	if err := s.Listener.Open(); err != nil {
+		return fault.New(fault.Invalid, "choose a free port on this host", "--http-listen %q: %v", s.Listener.Addr, err)
 	}
-	s.listener = ln
 	s.done = make(chan struct{})
 	s.hertz = server.New(
-		server.WithListener(netutil.LimitListener(ln, MaxConnections)),
-		server.WithTransport(standard.NewTransporter),
+		server.WithTransport(func(*config.Options) network.Transporter {
+			return &transport{listener: &s.Listener}
+		}),
 		server.WithMaxRequestBodySize(MaxBody),
 		server.WithIdleTimeout(idleTimeout),
 		server.WithReadTimeout(readTimeout),
@@ -116,7 +114,7 @@
 }
 
 // LocalAddr returns the address that the server listens on.
-func (s *Server) LocalAddr() string { return s.listener.Addr().String() }
+func (s *Server) LocalAddr() string { return s.Listener.LocalAddr().String() }
 
 func (s *Server) run() {
 	defer close(s.done)
@@ -128,7 +126,7 @@
 // Stop closes the listening socket and waits for requests in flight until ctx
 // ends.
 func (s *Server) Stop(ctx context.Context) error {
-	_ = s.listener.Close()
+	_ = s.Listener.Close()
 	for s.inFlight.Load() > 0 && ctx.Err() == nil {
 		time.Sleep(drainTimeout / 10)
 	}
@@ -149,6 +147,9 @@
 			}
 		}()
 		requests.Add(1)
+		if conn, ok := c.GetConn().(*conn); ok {
+			conn.Serve()
+		}
 		h(ctx, &Request{c})
 	}
 }
--- /dev/null
+++ b/io/httpd/transport.go
@@ -0,0 +1,77 @@
+package httpd
+
+import (
+	"context"
+	"sync"
+
+	"github.com/cloudwego/hertz/pkg/network"
+
+	"gypsumcrank/io/guard"
+)
+
+// transport accepts connections for hertz, which sees each as a conn.
+type transport struct {
+	listener *guard.Listener
+	handle   network.OnData
+
+	sessions sync.WaitGroup
+}
+
+// ListenAndServe serves connections until the transport is closed.
+func (t *transport) ListenAndServe(handle network.OnData) error {
+	t.handle = handle
+	for {
+		raw, err := t.listener.Accept()
+		if err != nil {
+			return nil // the listener is closed
+		}
+		s := &session{transport: t, conn: &conn{Conn: raw}}
+		t.sessions.Add(1)
+		go s.run()
+	}
+}
+
+// Close stops accepting connections.
+func (t *transport) Close() error { return t.listener.Close() }
+
+// Shutdown stops accepting connections and waits until all have ended, or ctx is done.
+func (t *transport) Shutdown(ctx context.Context) error {
+	_ = t.listener.Close()
+	ended := make(chan struct{})
+	w := &waiter{t, ended}
+	go w.run()
+	select {
+	case <-ended:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// waiter closes a channel when all sessions of a transport have ended.
+type waiter struct {
+	transport *transport
+	ended     chan struct{}
+}
+
+func (w *waiter) run() {
+	w.transport.sessions.Wait()
+	close(w.ended)
+}
+
+// session is one connection with the goroutine that serves it.
+type session struct {
+	transport *transport
+	conn      *conn
+}
+
+// run passes the connection to hertz once the client has sent something, so that a silent
+// connection takes as little as possible.
+func (s *session) run() {
+	defer s.transport.sessions.Done()
+	defer s.conn.Close()
+	if s.conn.SetReadTimeout(idleTimeout) != nil || s.conn.fill() != nil || s.conn.SetReadTimeout(readTimeout) != nil {
+		return
+	}
+	_ = s.transport.handle(context.Background(), s.conn)
+}
--- a/io/link/link.go
+++ b/io/link/link.go
@@ -21,6 +21,7 @@
 	"gypsumcrank/core/clock"
 	"gypsumcrank/core/fault"
 	"gypsumcrank/core/plan"
+	"gypsumcrank/io/guard"
 )
 
 // Limits of a connection.
@@ -71,13 +72,14 @@
 
 // Conn sends and receives frames. Send never blocks.
 type Conn struct {
-	raw   net.Conn
-	in    *bufio.Reader
-	wake  chan struct{} // has a value if frames may wait
-	once  sync.Once
-	sent  atomic.Int64 // when Send was last called, in milliseconds of the monotonic clock
-	heard atomic.Int64 // when the last frame was received, or the connection made
-	done  chan struct{}
+	raw      net.Conn
+	accepted *guard.Conn // raw if it was accepted, or nil
+	in       *bufio.Reader
+	wake     chan struct{} // has a value if frames may wait
+	once     sync.Once
+	sent     atomic.Int64 // when Send was last called, in milliseconds of the monotonic clock
+	heard    atomic.Int64 // when the last frame was received, or the connection made
+	done     chan struct{}
 
 	mu     sync.Mutex
 	queued []Frame // that run has not taken yet
@@ -85,7 +87,8 @@
 
 // New wraps a connection and starts its writer.
 func New(raw net.Conn) *Conn {
-	c := &Conn{raw: raw, in: bufio.NewReader(raw), wake: make(chan struct{}, 1), done: make(chan struct{})}
+	accepted, _ := raw.(*guard.Conn)
+	c := &Conn{raw: raw, accepted: accepted, in: bufio.NewReader(raw), wake: make(chan struct{}, 1), done: make(chan struct{})}
 	c.heard.Store(int64(clock.System().Monotonic()))
 	go c.run()
 	return c
@@ -149,6 +152,9 @@
 // Receive waits for the next frame, at most for the given time.
 func (c *Conn) Receive(wait clock.Millis) (Frame, error) {
 	var f Frame
+	if c.accepted != nil {
+		c.accepted.AwaitClient()
+	}
 	if err := c.raw.SetReadDeadline(time.Now().Add(wait.Duration())); err != nil {
 		return f, err
 	}
--- a/io/steer/steer.go
+++ b/io/steer/steer.go
@@ -8,7 +8,6 @@
 	"encoding/json"
 	"log/slog"
 	"math/rand/v2"
-	"net"
 	"sync"
 	"time"
 
@@ -64,7 +63,6 @@
 // elected. Set the exported fields before Start.
 type Coordinator struct {
 	Node string
-	Addr string // listen address for sides and other fronts
 	// Announce is the address at which other processes connect.
 	Announce string
 	Store    store.TxnStore
@@ -84,26 +82,22 @@
 	OnJobEnd func(rev int64)
 	// OnForecast is called with the planner's forecast at intervals.
 	OnForecast func(f *admit.Forecast)
-	// Guard protects the listener; nil if it has one of its own.
-	Guard *guard.Guard
+	Listener   guard.Listener // for sides and other fronts
 
-	mu       sync.Mutex
-	term     *term
-	listener net.Listener
-	cancel   context.CancelFunc
-	wg       sync.WaitGroup
+	mu     sync.Mutex
+	term   *term
+	cancel context.CancelFunc
+	wg     sync.WaitGroup
 }
 
 // Start opens the listener and starts to campaign.
 func (s *Coordinator) Start(context.Context, *kern.Kernel) error {
-	if s.Guard == nil {
-		s.Guard = &guard.Guard{Log: s.Log}
+	if s.Listener.Guard == nil {
+		s.Listener.Guard = &guard.Guard{Log: s.Log}
 	}
-	ln, err := s.Guard.Listen("link", s.Addr)
-	if err != nil {
-		return fault.New(fault.Invalid, "choose a free port on this host", "listen for sides on %q: %v", s.Addr, err)
+	if err := s.Listener.Open(); err != nil {
+		return fault.New(fault.Invalid, "choose a free port on this host", "listen for sides on %q: %v", s.Listener.Addr, err)
 	}
-	s.listener = ln
 	ctx, cancel := context.WithCancel(context.Background())
 	s.cancel = cancel
 	s.wg.Add(2)
@@ -116,7 +110,7 @@
 // once.
 func (s *Coordinator) Stop(context.Context) error {
 	s.cancel()
-	_ = s.listener.Close()
+	_ = s.Listener.Close()
 	s.wg.Wait()
 	return nil
 }
@@ -206,7 +200,7 @@
 func (s *Coordinator) runAccept() {
 	defer s.wg.Done()
 	for {
-		raw, err := s.listener.Accept()
+		raw, err := s.Listener.Accept()
 		if err != nil {
 			return
 		}
