The kernel receives little ahead of a process that is busy

What callers saw: a front ends for want of memory although it has read little. Bytes that were received and not yet read count towards its machine's memory.

Cause: the receive buffer of a connection grows with what its client sends and the process reads, up to some megabytes. While a request waits for the store, nobody reads what its client sends behind it, and the buffer fills.

Fix: the size of the receive buffer is set on the listening sockets, from which accepted connections inherit it: 32 KB for callers and control, 64 KB for the link, 16 KB for the others. It also holds for connections that are not accepted yet. The bound on connections counts it. If the kernel refuses it, one line at the start says so.

--- a/cmd/gypsumcrank/crowd_http_test.go
+++ b/cmd/gypsumcrank/crowd_http_test.go
@@ -112,6 +112,10 @@
 	const clients = 96
 	return []crowd{
 		{"far_body_announced", clients, 2, func(c *crowdClient) { _ = c.begin("Content-Length: 1073741824\r\n\r\n") && c.repeat("a", crowdFar) }},
+		{"bytes_behind_a_request", clients, 1, func(c *crowdClient) {
+			// What follows a whole request waits until that one is answered.
+			_ = c.begin("Content-Length: 1\r\n\r\na") && c.repeat("a", crowdFar)
+		}},
 		{"unread_answers", clients, 1, func(c *crowdClient) { c.repeat(crowdQueries[c.listener], crowdShort) }},
 		{"slow_body", clients, 1, func(c *crowdClient) {
 			_ = c.begin(fmt.Sprintf("Content-Length: %d\r\n\r\n", crowdShort)) && c.trickle(strings.Repeat("a", 8<<10))
--- a/cmd/gypsumcrank/crowd_test.go
+++ b/cmd/gypsumcrank/crowd_test.go
@@ -188,6 +188,30 @@
 	}
 }
 
+// While a request waits for the store, its client may send more than anybody reads. The kernel
+// keeps it in the memory of the process's machine.
+func TestCrowdOfBytesBehindRequestsThatWait(t *testing.T) {
+	s := startCrowdSite(t, "front-0", crowdListeners())
+	s.checkServes("before the crowd")
+	m := s.meter()
+	s.store.SetFault(plat.Silent)
+	w := crowd{clients: crowdMaxSockets / 3, behave: func(c *crowdClient) {
+		job := `{"task_spec":"x",` + strings.Repeat(" ", 64<<10) + `"steps":[{"count":1,"cpu":1000,"mem_mb":100,"estimate_ms":100}]}`
+		for i := range 8 {
+			request := strings.Replace(crowdRequests["callers"], "00000000000000c1", fmt.Sprintf("%016x", 0xb000+16*c.number+i), 1)
+			c.send(fmt.Sprintf("%sContent-Length: %d\r\n\r\n%s", request, len(job), job))
+		}
+		c.repeat("a", 4*crowdFar)
+	}}
+	conns := w.run(s.d.addr, "callers")
+	s.store.SetFault(plat.None)
+	for _, c := range conns {
+		_ = c.Close()
+	}
+	s.checkServes("after the crowd")
+	s.checkLimits(m)
+}
+
 // startSmallSite starts a front and a side on machines like those that the crowds meet.
 func startSmallSite(t *testing.T) *site {
 	s := &site{dir: t.TempDir(), procs: make(map[string]*daemon), executors: make(map[string]*plat.Executor), limits: map[string]int{"memory_mb": crowdMemoryMB, "max_fds": crowdMaxFDs}}
--- a/cmd/gypsumcrank/limits.go
+++ b/cmd/gypsumcrank/limits.go
@@ -41,7 +41,7 @@
 const (
 	// reservedFiles is how many of a host's descriptors are not for sockets.
 	reservedFiles = 200
-	// connectionMemory is what an open connection takes of the process.
+	// connectionMemory is what an open connection takes of the process, besides its receive buffer.
 	connectionMemory = 24 << 10
 	// maxProbeConnections limits listeners that only a few clients use.
 	maxProbeConnections = 64
@@ -49,19 +49,20 @@
 
 // listenerKind is a use of a listener.
 type listenerKind struct {
-	name        string
-	socketShare float64 // of the host's sockets
-	memoryShare float64 // of the host's memory
-	maxConns    int     // at most; 0 if only the flag says
+	name          string
+	socketShare   float64 // of the host's sockets
+	memoryShare   float64 // of the host's memory
+	receiveBuffer int     // bytes
+	maxConns      int     // at most; 0 if only the flag says
 }
 
 // The listeners of fronts and sides.
 var (
-	callerListener  = listenerKind{name: "callers", socketShare: 1. / 2, memoryShare: 3. / 8}
-	controlListener = listenerKind{name: "control", socketShare: 1. / 2, memoryShare: 3. / 8}
-	linkListener    = listenerKind{name: "link", socketShare: 1. / 4, memoryShare: 1. / 4}
-	readyListener   = listenerKind{name: "ready", socketShare: 1. / 16, memoryShare: 1. / 32, maxConns: maxProbeConnections}
-	metricsListener = listenerKind{name: "metrics", socketShare: 1. / 16, memoryShare: 1. / 32, maxConns: maxProbeConnections}
+	callerListener  = listenerKind{name: "callers", socketShare: 1. / 2, memoryShare: 3. / 8, receiveBuffer: 32 << 10}
+	controlListener = listenerKind{name: "control", socketShare: 1. / 2, memoryShare: 3. / 8, receiveBuffer: 32 << 10}
+	linkListener    = listenerKind{name: "link", socketShare: 1. / 4, memoryShare: 1. / 4, receiveBuffer: 64 << 10}
+	readyListener   = listenerKind{name: "ready", socketShare: 1. / 16, memoryShare: 1. / 32, receiveBuffer: 16 << 10, maxConns: maxProbeConnections}
+	metricsListener = listenerKind{name: "metrics", socketShare: 1. / 16, memoryShare: 1. / 32, receiveBuffer: 16 << 10, maxConns: maxProbeConnections}
 )
 
 // newListeners returns what makes the listeners of a process.
@@ -86,9 +87,9 @@
 		n = min(n, int(float64(sockets)*k.socketShare))
 	}
 	if memory := l.settings.MemoryMB << 20; memory > 0 {
-		n = min(n, int(float64(memory)*k.memoryShare)/connectionMemory)
+		n = min(n, int(float64(memory)*k.memoryShare)/(k.receiveBuffer+connectionMemory))
 	}
-	return guard.Listener{Name: k.name, Addr: addr, MaxConns: max(n, minConnections), Guard: l.guard}
+	return guard.Listener{Name: k.name, Addr: addr, MaxConns: max(n, minConnections), ReceiveBuffer: k.receiveBuffer, Guard: l.guard}
 }
 
 // sockets returns how many sockets the process can open; 0 if that is not known.
--- a/io/guard/guard.go
+++ b/io/guard/guard.go
@@ -1,5 +1,6 @@
 // Package guard protects a process against clients that don't behave: it bounds how many
-// connections they have open, and it keeps accepting when the process has run out of descriptors.
+// connections they have open and what the kernel receives on them ahead of the process, and it keeps
+// accepting when the process has run out of descriptors.
 //
 //	g := &guard.Guard{Log: log}
 //	ln := &guard.Listener{Name: "callers", Addr: "10.0.0.7:8080", MaxConns: 2048, Guard: g}
--- a/io/guard/listener.go
+++ b/io/guard/listener.go
@@ -2,11 +2,15 @@
 
 import (
 	"container/list"
+	"context"
 	"errors"
 	"net"
 	"sync"
+	"syscall"
 	"time"
 
+	"golang.org/x/sys/unix"
+
 	"gypsumcrank/core/clock"
 	"gypsumcrank/io/meter"
 )
@@ -23,7 +27,10 @@
 	Name     string // in metrics and logs
 	Addr     string
 	MaxConns int // open at a time; 0 for no limit
-	Guard    *Guard
+	// ReceiveBuffer is the size in bytes of what the kernel receives on one connection ahead of the
+	// process; 0 leaves it to the kernel.
+	ReceiveBuffer int
+	Guard         *Guard
 
 	raw  net.Listener
 	done chan struct{}
@@ -43,7 +50,8 @@
 
 // Open starts to listen.
 func (l *Listener) Open() error {
-	raw, err := net.Listen("tcp", l.Addr)
+	config := net.ListenConfig{Control: l.limitReceiveBuffer}
+	raw, err := config.Listen(context.Background(), "tcp", l.Addr)
 	if err != nil {
 		return err
 	}
@@ -52,6 +60,24 @@
 	return nil
 }
 
+// limitReceiveBuffer sets the size of the receive buffer, which accepted connections inherit,
+// before the first can be made.
+func (l *Listener) limitReceiveBuffer(_, _ string, c syscall.RawConn) error {
+	if l.ReceiveBuffer <= 0 {
+		return nil
+	}
+	var err error
+	if controlErr := c.Control(func(fd uintptr) {
+		err = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_RCVBUF, l.ReceiveBuffer)
+	}); controlErr != nil {
+		return controlErr
+	}
+	if err != nil {
+		l.Guard.Log.Warn("receive_buffer_unlimited", "listener", l.Name, "error", err)
+	}
+	return nil
+}
+
 // Accept waits for the next connection. It fails only once the listener is closed: any other error,
 // such as that of a process without free descriptors, passes.
 func (l *Listener) Accept() (*Conn, error) {
