Bodies are received whole, and chunks decoded once, before hertz reads them

What callers saw: a front or a side ends for want of memory when clients send bodies in tiny chunks, chunk sizes or trailers without end. A job whose request was cut off inside its trailers was accepted, though its client had not finished it.

Cause: hertz keeps all bytes of a chunked body, with the lines between the chunks, until the request is answered; nothing limits a line before a chunk or the trailers; trailers are parsed again from their start with each packet; and their end by the end of the connection counts as their end. An announced chunk takes its memory before any of it has come.

Evidence, untouched code, 96 clients on machines of 65,536 KB: padded_chunk_size 441,472 KB at callers, 440,824 KB at control; unfinished_trailers 678,368 KB and 678,100 KB; the front ended in endless_trailers. Trailers whose last bytes trickle took 220 hundredths of a second of processor time, a body 42.

Fix: a connection receives the whole request before hertz reads any of it. A buffer grows with what has come, not with what is announced. Chunks are decoded in place, each byte once; lines, trailers and extensions have limits; what is cut off is not handled. hertz's own parser says how long a body is, so there is no second opinion; it then reads a request of known length. Forms are no longer parsed into files.

--- a/cmd/gypsumcrank/crowd_cpu_test.go
+++ b/cmd/gypsumcrank/crowd_cpu_test.go
@@ -9,8 +9,8 @@
 )
 
 // Bytes that come one at a time are not parsed again from the start with each of them: a long head
-// whose last bytes trickle takes at most a few times the processor time of a body that comes in the
-// same way. The process may refuse it before its end.
+// and long trailers, whose last bytes trickle, take at most a few times the processor time of a
+// body that comes in the same way. The process may refuse them before their end.
 func TestCrowdBytesThatTrickleAreParsedOnce(t *testing.T) {
 	const (
 		clients = 64
@@ -40,9 +40,10 @@
 		m.settle()
 		return m.cpuTicks() - before
 	}
+	const chunked = "Transfer-Encoding: chunked\r\n\r\n"
 	body := trickled("Content-Length: 1000000\r\n\r\n", "a")
 	for _, what := range []struct{ name, start, text string }{
-		{"head", "", line}, {"head_line", "X-Filler: ", "a"},
+		{"head", "", line}, {"head_line", "X-Filler: ", "a"}, {"chunks", chunked, "1\r\na\r\n"}, {"trailers", chunked + "0\r\n", line},
 	} {
 		got := trickled(what.start, what.text)
 		t.Logf("%s: %d, a body: %d hundredths of a second", what.name, got, body)
--- a/cmd/gypsumcrank/crowd_http_test.go
+++ b/cmd/gypsumcrank/crowd_http_test.go
@@ -111,6 +111,7 @@
 // httpCrowds returns the crowds that are played against each HTTP listener.
 func httpCrowds() []crowd {
 	line := "X-Filler: " + strings.Repeat("a", crowdLine-12) + "\r\n"
+	chunked := "Transfer-Encoding: chunked\r\n\r\n"
 	const clients = 96
 	return []crowd{
 		{"long_head", clients, 2, func(c *crowdClient) { _ = c.begin("") && c.repeat(line, crowdFar) && c.send("\r\n") }},
@@ -120,7 +121,24 @@
 		{"endless_request_line", clients, 1, func(c *crowdClient) { _ = c.send("GET /") && c.repeat("a", crowdFar) }},
 		{"blank_lines", clients, 1, func(c *crowdClient) { c.repeat("\r\n", crowdFar) }},
 		{"blank_lines_kept_alive", clients, 1, func(c *crowdClient) { _ = query(c, c.listener) == nil && c.repeat("\r\n", crowdFar) }},
+		{"huge_chunk_announced", clients, 1, func(c *crowdClient) {
+			_ = c.begin(chunked+"7fffffffffffff00\r\n") && c.repeat("a", crowdShort)
+		}},
+		{"endless_chunk_size", clients, 1, func(c *crowdClient) { _ = c.begin(chunked) && c.repeat("0", crowdFar) }},
+		{"padded_chunk_size", clients, 1, func(c *crowdClient) { _ = c.begin(chunked+"1") && c.repeat(" ", crowdFar) }},
+		{"chunk_extensions", clients, 1, func(c *crowdClient) {
+			_ = c.begin(chunked) && c.repeat("1;"+strings.Repeat("x", crowdLine)+"\r\na\r\n", crowdFar)
+		}},
+		{"endless_chunk_extension", clients, 1, func(c *crowdClient) { _ = c.begin(chunked+"1;") && c.repeat("x", crowdFar) }},
+		{"endless_trailers", clients, 1, func(c *crowdClient) { _ = c.begin(chunked+"1\r\na\r\n0\r\n") && c.repeat(line, crowdFar) }},
+		{"unfinished_trailers", clients, 1, func(c *crowdClient) { _ = c.begin(chunked+"1\r\na\r\n0\r\n") && c.repeat(line, crowdShort) }},
+		{"body_only_announced", clients, 1, func(c *crowdClient) {
+			_ = c.begin(fmt.Sprintf("Content-Length: %d\r\n\r\n", crowdShort)) && c.send("a")
+		}},
 		{"far_body_announced", clients, 2, func(c *crowdClient) { _ = c.begin("Content-Length: 1073741824\r\n\r\n") && c.repeat("a", crowdFar) }},
+		{"far_body_sent", clients, 1, func(c *crowdClient) {
+			_ = c.begin(fmt.Sprintf("Content-Length: %d\r\n\r\n", 4*crowdFar)) && c.repeat("a", 4*crowdFar)
+		}},
 		{"bytes_behind_a_request", clients, 1, func(c *crowdClient) {
 			// What follows a whole request waits until that one is answered.
 			_ = c.begin("Content-Length: 1\r\n\r\na") && c.repeat("a", crowdFar)
@@ -130,6 +148,8 @@
 		{"slow_body", clients, 1, func(c *crowdClient) {
 			_ = c.begin(fmt.Sprintf("Content-Length: %d\r\n\r\n", crowdShort)) && c.trickle(strings.Repeat("a", 8<<10))
 		}},
+		{"slow_chunks", clients, 1, func(c *crowdClient) { _ = c.begin(chunked) && c.trickle(strings.Repeat("1\r\na\r\n", 1<<10)) }},
+		{"slow_trailers", clients, 1, func(c *crowdClient) { _ = c.begin(chunked+"0\r\n") && c.trickle(strings.Repeat("a: b\r\n", 1<<10)) }},
 		{"reset_in_head", clients, 10, func(c *crowdClient) { _ = c.begin("") && c.repeat(line, 64<<10); c.resetOnClose() }},
 		{"reset_before_answer", clients, 10, func(c *crowdClient) { _ = c.send(crowdQueries[c.listener]); c.resetOnClose() }},
 		{"silent", 3 * crowdMaxSockets, 1, func(*crowdClient) {}},
--- a/cmd/gypsumcrank/limits.go
+++ b/cmd/gypsumcrank/limits.go
@@ -19,6 +19,7 @@
 type clientFlags struct {
 	MaxConnections int           `default:"${max_connections}" help:"Maximum number of open connections of each listener; it is lower on a host with few descriptors or little memory."`
 	MaxHeadBytes   int           `default:"${max_head_bytes}" help:"Maximum size of the head of a request, in bytes."`
+	MaxBodyBytes   int           `default:"${max_body_bytes}" help:"Maximum size of the body of a request, in bytes."`
 	RequestTimeout time.Duration `default:"${request_timeout}" help:"Maximum time from the first byte of a request to its last."`
 	IdleTimeout    time.Duration `default:"${idle_timeout}" help:"Maximum time without a request on an open connection."`
 }
@@ -30,7 +31,7 @@
 func clientDefaults() map[string]string {
 	d := httpd.DefaultLimits()
 	return map[string]string{
-		"max_connections": strconv.Itoa(defaultConnections), "max_head_bytes": strconv.Itoa(d.MaxHead),
+		"max_connections": strconv.Itoa(defaultConnections), "max_head_bytes": strconv.Itoa(d.MaxHead), "max_body_bytes": strconv.Itoa(d.MaxBody),
 		"request_timeout": d.RequestTimeout.String(), "idle_timeout": d.IdleTimeout.String(),
 	}
 }
@@ -39,6 +40,7 @@
 const (
 	minConnections = 1
 	minHeadBytes   = 1 << 10
+	minBodyBytes   = 4 << 10
 	minTimeout     = time.Second
 )
 
@@ -47,7 +49,7 @@
 		flag     string
 		got, min int
 	}{
-		{"max-connections", f.MaxConnections, minConnections}, {"max-head-bytes", f.MaxHeadBytes, minHeadBytes},
+		{"max-connections", f.MaxConnections, minConnections}, {"max-head-bytes", f.MaxHeadBytes, minHeadBytes}, {"max-body-bytes", f.MaxBodyBytes, minBodyBytes},
 	} {
 		if limit.got < limit.min {
 			return fault.New(fault.Invalid, "give a larger number, or leave it out", "--%s must be at least %d, got %d", limit.flag, limit.min, limit.got)
@@ -62,7 +64,7 @@
 }
 
 func (f clientFlags) limits() httpd.Limits {
-	return httpd.Limits{MaxHead: f.MaxHeadBytes, IdleTimeout: f.IdleTimeout, RequestTimeout: f.RequestTimeout}
+	return httpd.Limits{MaxHead: f.MaxHeadBytes, MaxBody: f.MaxBodyBytes, IdleTimeout: f.IdleTimeout, RequestTimeout: f.RequestTimeout}
 }
 
 // Shares of a host that the listeners of a process may take for their connections. They leave
--- a/io/httpd/conn.go
+++ b/io/httpd/conn.go
@@ -22,16 +22,18 @@
 // writeBuffers holds unused write buffers: an idle connection needs none.
 var writeBuffers = sync.Pool{New: func() any { return new([writeBuffer]byte) }}
 
-// conn is a connection as hertz sees it. The head of a request is received whole before hertz reads
-// any of it.
+// conn is a connection as hertz sees it. Its reader holds one whole request at a time, which was
+// received within the limits.
 type conn struct {
 	*guard.Conn
 	listener string // its name
 	limits   Limits
 
-	in    []byte // received and not yet released
-	off   int    // of what is not yet read
-	fresh bool   // nothing of the next request was read
+	in      []byte // received and not yet released
+	head    []byte // of the request that is served, as far as hertz has not read it
+	body    []byte // likewise
+	next    int    // offset in in of what was received after that request
+	serving bool   // until the request is released
 
 	buffer *[writeBuffer]byte // that out began with, or nil
 	out    []byte             // to be written by Flush
@@ -42,46 +44,39 @@
 	_ network.HandleSpecificError = (*conn)(nil)
 )
 
-// fill receives more bytes into free space of the buffer, which it makes if there is none.
-func (c *conn) fill() error {
-	if len(c.in) == cap(c.in) {
-		larger := make([]byte, len(c.in), max(2*cap(c.in), baseBuffer))
-		copy(larger, c.in)
-		c.in = larger
+// part returns the part of the request that hertz reads next.
+func (c *conn) part() *[]byte {
+	if len(c.head) > 0 {
+		return &c.head
 	}
-	n, err := c.Conn.Read(c.in[len(c.in):cap(c.in)])
-	c.in = c.in[:len(c.in)+n]
-	if n > 0 {
-		return nil
-	}
-	return err
+	return &c.body
 }
 
-// Peek returns the next n bytes, and receives them if need be. Between two requests it waits for the
-// next one; io.EOF says that there will be none.
+// Peek returns the next n bytes of the request. Between two requests it waits for the next one;
+// io.EOF says that there will be none.
 func (c *conn) Peek(n int) ([]byte, error) {
-	if c.fresh && !c.receive() {
+	if !c.serving && !c.receive() {
 		return nil, io.EOF
 	}
-	for c.Len() < n {
-		if err := c.fill(); err != nil {
-			return c.in[c.off:], err
-		}
+	p := *c.part()
+	if n > len(p) {
+		return p, io.ErrUnexpectedEOF
 	}
-	return c.in[c.off : c.off+n], nil
+	return p[:n], nil
 }
 
 // Skip discards the next n bytes.
 func (c *conn) Skip(n int) error {
-	if n > c.Len() {
+	p := c.part()
+	if n > len(*p) {
 		return io.ErrUnexpectedEOF
 	}
-	c.off += n
+	*p = (*p)[n:]
 	return nil
 }
 
-// Len returns how many bytes were received and not read.
-func (c *conn) Len() int { return len(c.in) - c.off }
+// Len returns how many bytes Peek can return.
+func (c *conn) Len() int { return len(*c.part()) }
 
 // ReadByte returns the next byte.
 func (c *conn) ReadByte() (byte, error) {
@@ -101,22 +96,27 @@
 	return append([]byte(nil), b...), c.Skip(n)
 }
 
-// Read reads what was received, or more if that is nothing.
+// Read reads what is left of the request.
 func (c *conn) Read(b []byte) (int, error) {
-	if _, err := c.Peek(1); err != nil {
-		return 0, err
+	p := c.part()
+	if len(*p) == 0 {
+		return 0, io.EOF
 	}
-	n := copy(b, c.in[c.off:])
+	n := copy(b, *p)
 	return n, c.Skip(n)
 }
 
-// Release discards what is read. Slices of it are no longer valid.
+// Release ends the request that is served. Slices that were read from it are no longer valid.
 func (c *conn) Release() error {
-	rest := c.in[c.off:]
+	if !c.serving {
+		return nil
+	}
+	rest := c.in[c.next:]
 	if cap(c.in) > baseBuffer && len(rest) <= baseBuffer {
 		c.in = make([]byte, 0, baseBuffer)
 	}
-	c.in, c.off, c.fresh = append(c.in[:0], rest...), 0, true
+	c.in = append(c.in[:0], rest...)
+	c.head, c.body, c.next, c.serving = nil, nil, 0, false
 	return nil
 }
 
--- a/io/httpd/httpd.go
+++ b/io/httpd/httpd.go
@@ -31,7 +31,6 @@
 
 // Limits of the server.
 const (
-	MaxBody      = 1 << 20          // bytes
 	defaultConns = 4096             // open connections, if the listener has no limit
 	writeTimeout = 10 * time.Second // of a client that doesn't take its response
 	drainTimeout = 50 * time.Millisecond
@@ -44,21 +43,23 @@
 
 // Limits bounds what one client may send. The zero value of a field stands for its default.
 type Limits struct {
-	MaxHead        int           // bytes of a request's head
+	MaxHead        int           // bytes of a request's head; also of trailers
+	MaxBody        int           // bytes of a request's body
 	IdleTimeout    time.Duration // between two requests on a connection
 	RequestTimeout time.Duration // from the first byte of a request to its last
 }
 
 // DefaultLimits returns limits that every request within the users' pages keeps.
 func DefaultLimits() Limits {
-	return Limits{MaxHead: 16 << 10, IdleTimeout: time.Minute, RequestTimeout: 30 * time.Second}
+	return Limits{MaxHead: 16 << 10, MaxBody: 1 << 20, IdleTimeout: time.Minute, RequestTimeout: 30 * time.Second}
 }
 
 // withDefaults returns the limits with their defaults.
 func (l Limits) withDefaults() Limits {
 	d := DefaultLimits()
 	return Limits{
-		MaxHead: cmp.Or(l.MaxHead, d.MaxHead), IdleTimeout: cmp.Or(l.IdleTimeout, d.IdleTimeout), RequestTimeout: cmp.Or(l.RequestTimeout, d.RequestTimeout),
+		MaxHead: cmp.Or(l.MaxHead, d.MaxHead), MaxBody: cmp.Or(l.MaxBody, d.MaxBody),
+		IdleTimeout: cmp.Or(l.IdleTimeout, d.IdleTimeout), RequestTimeout: cmp.Or(l.RequestTimeout, d.RequestTimeout),
 	}
 }
 
@@ -112,7 +113,8 @@
 			return &transport{listener: &s.Listener, limits: limits}
 		}),
 		server.WithMaxHeaderBytes(limits.MaxHead),
-		server.WithMaxRequestBodySize(MaxBody),
+		server.WithMaxRequestBodySize(limits.MaxBody),
+		server.WithDisablePreParseMultipartForm(true),
 		server.WithIdleTimeout(limits.IdleTimeout),
 		server.WithExitWaitTime(drainTimeout),
 		server.WithDisablePrintRoute(true),
@@ -167,9 +169,6 @@
 			}
 		}()
 		requests.Add(1)
-		if conn, ok := c.GetConn().(*conn); ok {
-			conn.Serve()
-		}
 		h(ctx, &Request{c})
 	}
 }
--- a/io/httpd/receive.go
+++ b/io/httpd/receive.go
@@ -4,13 +4,23 @@
 	"bytes"
 	"errors"
 	"os"
+	"sync"
 	"time"
+
+	"github.com/cloudwego/hertz/pkg/protocol"
+	"github.com/cloudwego/hertz/pkg/protocol/http1/req"
 )
 
 // maxBlankLines is how many blank lines may come before a request.
 const maxBlankLines = 8
 
-// receive waits for the next request and receives its head. It reports false if there is none: the
+// continueResponse asks a client to send the body that it has announced.
+const continueResponse = "HTTP/1.1 100 Continue\r\n\r\n"
+
+// headers holds unused headers, which are needed only while a request is received.
+var headers = sync.Pool{New: func() any { return new(protocol.RequestHeader) }}
+
+// receive waits for the next request and receives it whole. It reports false if there is none: the
 // client has left, was too slow, or has been refused.
 func (c *conn) receive() bool {
 	c.AwaitClient()
@@ -22,7 +32,8 @@
 	if err != nil {
 		return false
 	}
-	c.fresh = false
+	c.Serve()
+	c.serving = true
 	return true
 }
 
@@ -39,16 +50,50 @@
 	if err := c.SetReadDeadline(time.Now().Add(c.limits.RequestTimeout)); err != nil {
 		return err
 	}
-	err := c.skipBlankLines()
-	if err == nil {
-		err = c.receiveHead()
-	}
+	err := c.receiveParts()
 	if errors.Is(err, os.ErrDeadlineExceeded) {
 		return refuseSlow
 	}
 	return err
 }
 
+// receiveParts receives the head and the body of a request.
+func (c *conn) receiveParts() error {
+	if err := c.skipBlankLines(); err != nil {
+		return err
+	}
+	end, err := c.receiveHead()
+	if err != nil {
+		return err
+	}
+	h := headers.Get().(*protocol.RequestHeader)
+	defer headers.Put(h)
+	if err := c.parseHead(h, end); err != nil {
+		return err
+	}
+	return c.receiveBody(h, end)
+}
+
+// fill receives more bytes into free space of the buffer, which it makes if there is none.
+func (c *conn) fill() error {
+	if len(c.in) == cap(c.in) {
+		c.grow(2 * cap(c.in))
+	}
+	n, err := c.Conn.Read(c.in[len(c.in):cap(c.in)])
+	c.in = c.in[:len(c.in)+n]
+	if n > 0 {
+		return nil
+	}
+	return err
+}
+
+// grow makes a larger buffer.
+func (c *conn) grow(size int) {
+	larger := make([]byte, len(c.in), max(size, baseBuffer))
+	copy(larger, c.in)
+	c.in = larger
+}
+
 // skipBlankLines discards blank lines before a request, which some clients send after a body.
 func (c *conn) skipBlankLines() error {
 	for range maxBlankLines {
@@ -77,19 +122,19 @@
 	return 0
 }
 
-// receiveHead receives a whole head, so that it is parsed once. What was searched for its end once
-// is not searched again.
-func (c *conn) receiveHead() error {
-	for end, from := 0, 0; ; {
+// receiveHead receives a head, and returns where it ends in the buffer. What was searched for the
+// end once is not searched again.
+func (c *conn) receiveHead() (end int, err error) {
+	for from := 0; ; {
 		end, from = headEnd(c.in, from)
 		if end > c.limits.MaxHead || end == 0 && len(c.in) > c.limits.MaxHead {
-			return refuseHead
+			return 0, refuseHead
 		}
 		if end > 0 {
-			return nil
+			return end, nil
 		}
 		if err := c.fill(); err != nil {
-			return err
+			return 0, err
 		}
 	}
 }
@@ -112,3 +157,72 @@
 		from = line + 1
 	}
 }
+
+// parseHead parses the head that ends at the given offset.
+func (c *conn) parseHead(h *protocol.RequestHeader, end int) error {
+	h.Reset()
+	c.head, c.body, c.serving = c.in[:end], nil, true // for hertz to read
+	err := req.ReadHeader(h, c)
+	rest := len(c.head)
+	c.head, c.serving = nil, false
+	if err != nil || rest > 0 {
+		return refuseMalformed
+	}
+	return nil
+}
+
+// chunkedLength is the length of a body in chunks, according to hertz.
+const chunkedLength = -1
+
+// receiveBody receives the body behind the head that ends at the given offset. Then the request is
+// whole.
+func (c *conn) receiveBody(h *protocol.RequestHeader, end int) error {
+	length := h.ContentLength()
+	if length > c.limits.MaxBody {
+		return refuseBody
+	}
+	expects := len(h.Peek("Expect")) > 0
+	if expects && length != 0 && len(c.in) == end {
+		if _, err := c.Write([]byte(continueResponse)); err != nil {
+			return err
+		}
+	}
+	bodyEnd, err := end, error(nil)
+	c.next = end
+	if length == chunkedLength {
+		bodyEnd, c.next, err = c.receiveChunks(end)
+	} else if length > 0 {
+		bodyEnd = end + length
+		c.next, err = bodyEnd, c.receiveUntil(bodyEnd)
+	}
+	if err != nil {
+		return err
+	}
+	c.head, c.body = c.in[:end:end], c.in[end:bodyEnd]
+	if expects || length == chunkedLength {
+		c.rewriteHead(h)
+	}
+	return nil
+}
+
+// receiveUntil receives until the buffer holds the given number of bytes. It grows only with what
+// has come, not with what was announced.
+func (c *conn) receiveUntil(size int) error {
+	for len(c.in) < size {
+		if len(c.in) == cap(c.in) {
+			c.grow(min(2*cap(c.in), size))
+		}
+		if err := c.fill(); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// rewriteHead replaces the head by one for the body as it was received: of known length, and not
+// to be asked for.
+func (c *conn) rewriteHead(h *protocol.RequestHeader) {
+	h.Del("Expect")
+	h.SetContentLength(len(c.body))
+	c.head = append([]byte(nil), h.Header()...)
+}
--- a/io/httpd/refuse.go
+++ b/io/httpd/refuse.go
@@ -37,7 +37,9 @@
 // The refusals.
 var (
 	refuseHead       = newRefusal(http.StatusRequestHeaderFieldsTooLarge, "head_too_large", fault.TooLarge, "send fewer or shorter header fields", "the head of the request is over the limit")
+	refuseBody       = newRefusal(http.StatusRequestEntityTooLarge, "body_too_large", fault.TooLarge, "send a smaller body", "the body of the request is over the limit")
 	refuseBlankLines = newRefusal(http.StatusBadRequest, "blank_lines", fault.Invalid, "begin with the request", "too many blank lines before the request")
+	refuseMalformed  = newRefusal(http.StatusBadRequest, "malformed", fault.Invalid, "send an HTTP/1.1 request", "the request can't be parsed")
 	refuseSlow       = newRefusal(http.StatusRequestTimeout, "slow", fault.DeadlineExceeded, "send the whole request sooner", "the request did not come in time")
 )
 
--- a/io/httpd/transport.go
+++ b/io/httpd/transport.go
@@ -26,7 +26,7 @@
 		if err != nil {
 			return nil // the listener is closed
 		}
-		s := &session{transport: t, conn: &conn{Conn: raw, listener: t.listener.Name, limits: t.limits, fresh: true}}
+		s := &session{transport: t, conn: &conn{Conn: raw, listener: t.listener.Name, limits: t.limits}}
 		t.sessions.Add(1)
 		go s.run()
 	}
