An idle connection keeps nothing of its last request

What callers saw: a front ends for want of memory because of clients that make one large request each, within all limits, and leave the connection open.

Cause: hertz holds a request context for as long as its Serve runs, that is for the life of a connection, with buffers as large as the largest request on it. Heads of many short fields are the worst: a field takes 72 bytes and more of them, five on the wire.

Fix: hertz serves one request and returns; the session then waits for the next one without it.

--- a/cmd/gypsumcrank/crowd_http_test.go
+++ b/cmd/gypsumcrank/crowd_http_test.go
@@ -152,11 +152,38 @@
 		{"slow_trailers", clients, 1, func(c *crowdClient) { _ = c.begin(chunked+"0\r\n") && c.trickle(strings.Repeat("a: b\r\n", 1<<10)) }},
 		{"reset_in_head", clients, 10, func(c *crowdClient) { _ = c.begin("") && c.repeat(line, 64<<10); c.resetOnClose() }},
 		{"reset_before_answer", clients, 10, func(c *crowdClient) { _ = c.send(crowdQueries[c.listener]); c.resetOnClose() }},
+		{"many_fields_kept_alive", clients, 1, func(c *crowdClient) { c.sendFields(crowdShort) }},
+		{"fields_kept_alive", clients, 1, func(c *crowdClient) { c.sendFields(15 << 10) }},
+		{"long_heads_kept_alive", clients, 1, func(c *crowdClient) {
+			if c.begin("") && c.repeat(line, 14<<10) && c.send("Content-Length: 1\r\n\r\na") {
+				_, _ = c.awaitAnswer()
+			}
+		}},
 		{"silent", 3 * crowdMaxSockets, 1, func(*crowdClient) {}},
 		{"silent_kept_alive", 3 * crowdMaxSockets, 1, func(c *crowdClient) { _ = query(c, c.listener) }},
 	}
 }
 
+// sendFields sends a request with many short fields of the given size together, and keeps the
+// connection open when it is answered.
+func (c *crowdClient) sendFields(size int) {
+	if c.begin("") && c.repeat("a:b\r\n", size) && c.send("Content-Length: 1\r\n\r\na") {
+		_, _ = c.awaitAnswer()
+	}
+}
+
+// awaitAnswer reads the response to a request.
+func (c *crowdClient) awaitAnswer() (status int, err error) {
+	_ = c.SetReadDeadline(time.Now().Add(crowdTryTimeout))
+	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+	if err != nil {
+		return 0, err
+	}
+	defer resp.Body.Close()
+	_, err = io.Copy(io.Discard, resp.Body)
+	return resp.StatusCode, err
+}
+
 // resetOnClose makes the end of the connection a reset.
 func (c *crowdClient) resetOnClose() {
 	if tcp, ok := c.Conn.(*net.TCPConn); ok {
--- a/cmd/gypsumcrank/limits.go
+++ b/cmd/gypsumcrank/limits.go
@@ -19,6 +19,7 @@
 type clientFlags struct {
 	MaxConnections int           `default:"${max_connections}" help:"Maximum number of open connections of each listener; it is lower on a host with few descriptors or little memory."`
 	MaxHeadBytes   int           `default:"${max_head_bytes}" help:"Maximum size of the head of a request, in bytes."`
+	MaxHeadFields  int           `default:"${max_head_fields}" help:"Maximum number of fields in the head of a request."`
 	MaxBodyBytes   int           `default:"${max_body_bytes}" help:"Maximum size of the body of a request, in bytes."`
 	RequestTimeout time.Duration `default:"${request_timeout}" help:"Maximum time from the first byte of a request to its last."`
 	IdleTimeout    time.Duration `default:"${idle_timeout}" help:"Maximum time without a request on an open connection."`
@@ -31,7 +32,7 @@
 func clientDefaults() map[string]string {
 	d := httpd.DefaultLimits()
 	return map[string]string{
-		"max_connections": strconv.Itoa(defaultConnections), "max_head_bytes": strconv.Itoa(d.MaxHead), "max_body_bytes": strconv.Itoa(d.MaxBody),
+		"max_connections": strconv.Itoa(defaultConnections), "max_head_bytes": strconv.Itoa(d.MaxHead), "max_head_fields": strconv.Itoa(d.MaxFields), "max_body_bytes": strconv.Itoa(d.MaxBody),
 		"request_timeout": d.RequestTimeout.String(), "idle_timeout": d.IdleTimeout.String(),
 	}
 }
@@ -40,6 +41,7 @@
 const (
 	minConnections = 1
 	minHeadBytes   = 1 << 10
+	minHeadFields  = 16
 	minBodyBytes   = 4 << 10
 	minTimeout     = time.Second
 )
@@ -49,7 +51,7 @@
 		flag     string
 		got, min int
 	}{
-		{"max-connections", f.MaxConnections, minConnections}, {"max-head-bytes", f.MaxHeadBytes, minHeadBytes}, {"max-body-bytes", f.MaxBodyBytes, minBodyBytes},
+		{"max-connections", f.MaxConnections, minConnections}, {"max-head-bytes", f.MaxHeadBytes, minHeadBytes}, {"max-head-fields", f.MaxHeadFields, minHeadFields}, {"max-body-bytes", f.MaxBodyBytes, minBodyBytes},
 	} {
 		if limit.got < limit.min {
 			return fault.New(fault.Invalid, "give a larger number, or leave it out", "--%s must be at least %d, got %d", limit.flag, limit.min, limit.got)
@@ -64,7 +66,7 @@
 }
 
 func (f clientFlags) limits() httpd.Limits {
-	return httpd.Limits{MaxHead: f.MaxHeadBytes, MaxBody: f.MaxBodyBytes, IdleTimeout: f.IdleTimeout, RequestTimeout: f.RequestTimeout}
+	return httpd.Limits{MaxHead: f.MaxHeadBytes, MaxFields: f.MaxHeadFields, MaxBody: f.MaxBodyBytes, IdleTimeout: f.IdleTimeout, RequestTimeout: f.RequestTimeout}
 }
 
 // Shares of a host that the listeners of a process may take for their connections. They leave
--- a/io/httpd/conn.go
+++ b/io/httpd/conn.go
@@ -52,12 +52,8 @@
 	return &c.body
 }
 
-// Peek returns the next n bytes of the request. Between two requests it waits for the next one;
-// io.EOF says that there will be none.
+// Peek returns the next n bytes of the request.
 func (c *conn) Peek(n int) ([]byte, error) {
-	if !c.serving && !c.receive() {
-		return nil, io.EOF
-	}
 	p := *c.part()
 	if n > len(p) {
 		return p, io.ErrUnexpectedEOF
@@ -167,6 +163,9 @@
 	return c.Conn.Write(b)
 }
 
+// Close does nothing: hertz closes a connection after each request, which the session may keep open.
+func (c *conn) Close() error { return nil }
+
 // SetReadTimeout does nothing: receive sets the deadlines.
 func (c *conn) SetReadTimeout(time.Duration) error { return nil }
 
--- a/io/httpd/httpd.go
+++ b/io/httpd/httpd.go
@@ -44,6 +44,7 @@
 // Limits bounds what one client may send. The zero value of a field stands for its default.
 type Limits struct {
 	MaxHead        int           // bytes of a request's head; also of trailers
+	MaxFields      int           // number of fields in a request's head
 	MaxBody        int           // bytes of a request's body
 	IdleTimeout    time.Duration // between two requests on a connection
 	RequestTimeout time.Duration // from the first byte of a request to its last
@@ -51,14 +52,14 @@
 
 // DefaultLimits returns limits that every request within the users' pages keeps.
 func DefaultLimits() Limits {
-	return Limits{MaxHead: 16 << 10, MaxBody: 1 << 20, IdleTimeout: time.Minute, RequestTimeout: 30 * time.Second}
+	return Limits{MaxHead: 16 << 10, MaxFields: 128, MaxBody: 1 << 20, IdleTimeout: time.Minute, RequestTimeout: 30 * time.Second}
 }
 
 // withDefaults returns the limits with their defaults.
 func (l Limits) withDefaults() Limits {
 	d := DefaultLimits()
 	return Limits{
-		MaxHead: cmp.Or(l.MaxHead, d.MaxHead), MaxBody: cmp.Or(l.MaxBody, d.MaxBody),
+		MaxHead: cmp.Or(l.MaxHead, d.MaxHead), MaxFields: cmp.Or(l.MaxFields, d.MaxFields), MaxBody: cmp.Or(l.MaxBody, d.MaxBody),
 		IdleTimeout: cmp.Or(l.IdleTimeout, d.IdleTimeout), RequestTimeout: cmp.Or(l.RequestTimeout, d.RequestTimeout),
 	}
 }
@@ -115,7 +116,7 @@
 		server.WithMaxHeaderBytes(limits.MaxHead),
 		server.WithMaxRequestBodySize(limits.MaxBody),
 		server.WithDisablePreParseMultipartForm(true),
-		server.WithIdleTimeout(limits.IdleTimeout),
+		server.WithIdleTimeout(0), // return after each request
 		server.WithExitWaitTime(drainTimeout),
 		server.WithDisablePrintRoute(true),
 	)
--- a/io/httpd/receive.go
+++ b/io/httpd/receive.go
@@ -66,6 +66,9 @@
 	if err != nil {
 		return err
 	}
+	if bytes.Count(c.in[:end], []byte{'\n'}) > c.limits.MaxFields+2 { // with the lines before and behind them
+		return refuseHead
+	}
 	h := headers.Get().(*protocol.RequestHeader)
 	defer headers.Put(h)
 	if err := c.parseHead(h, end); err != nil {
@@ -161,10 +164,10 @@
 // parseHead parses the head that ends at the given offset.
 func (c *conn) parseHead(h *protocol.RequestHeader, end int) error {
 	h.Reset()
-	c.head, c.body, c.serving = c.in[:end], nil, true // for hertz to read
+	c.head, c.body = c.in[:end], nil // for hertz to read
 	err := req.ReadHeader(h, c)
 	rest := len(c.head)
-	c.head, c.serving = nil, false
+	c.head = nil
 	if err != nil || rest > 0 {
 		return refuseMalformed
 	}
--- a/io/httpd/receive_test.go
+++ b/io/httpd/receive_test.go
@@ -121,6 +121,7 @@
 	}{
 		{"head", post + strings.Repeat(field, 12) + "\r\n", 431},
 		{"head without end", post + strings.Repeat(field, 100), 431},
+		{"many fields", post + strings.Repeat("a:b\r\n", 128) + "\r\n", 431},
 		{"line without end", "GET /" + strings.Repeat("a", 2000), 431},
 		{"blank lines", strings.Repeat("\r\n", maxBlankLines+1), 400},
 		{"announced body", post + "Content-Length: 4097\r\n\r\n", 413},
--- a/io/httpd/transport.go
+++ b/io/httpd/transport.go
@@ -66,12 +66,14 @@
 	conn      *conn
 }
 
-// run passes the connection to hertz once there is a request, so that a silent connection takes as
-// little as possible.
+// run passes each request of the connection to hertz. In between the connection takes little: hertz
+// has nothing for it.
 func (s *session) run() {
 	defer s.transport.sessions.Done()
-	defer s.conn.Close()
-	if s.conn.receive() {
-		_ = s.transport.handle(context.Background(), s.conn)
+	defer s.conn.Conn.Close()
+	for s.conn.receive() {
+		if s.transport.handle(context.Background(), s.conn) != nil {
+			return
+		}
 	}
 }
