--- a/cmd/gypsumcrank/crowd_http_test.go
+++ b/cmd/gypsumcrank/crowd_http_test.go
@@ -30,9 +30,9 @@
 
 func crowdListeners() []crowdListener {
 	return []crowdListener{
-		{"callers", "front-0", func(d *daemon) string { return d.addr }, askHTTP("callers"), httpCrowds()},
+		{"callers", "front-0", func(d *daemon) string { return d.addr }, askHTTP("callers"), append(httpCrowds(), documentCrowd(crowdRequests["callers"], `{"task_spec":"x","steps":[`, `{},`, `{}]}`))},
 		{"ready", "front-0", func(d *daemon) string { return d.ready }, askHTTP("ready"), httpCrowds()},
-		{"control", "side-0", func(d *daemon) string { return d.addr }, askHTTP("control"), httpCrowds()},
+		{"control", "side-0", func(d *daemon) string { return d.addr }, askHTTP("control"), append(httpCrowds(), documentCrowd(crowdRequests["control"], `{"service":"svc","state":"ready","labels":[`, `"",`, `""]}`))},
 		{"metrics", "side-0", func(d *daemon) string { return d.metrics }, askHTTP("metrics"), httpCrowds()},
 		{"link", "front-0", func(d *daemon) string { return d.link }, askLink, linkCrowds()},
 	}
@@ -217,3 +217,15 @@
 		_ = tcp.SetLinger(0)
 	}
 }
+
+// documentCrowd returns a crowd that sends whole bodies within the limit, whose elements take far
+// more memory when they are decoded than on the wire.
+func documentCrowd(request, before, element, after string) crowd {
+	n := (crowdShort - len(before) - len(after)) / len(element)
+	body := before + strings.Repeat(element, n) + after
+	return crowd{"document_of_many_elements", 16, 4, func(c *crowdClient) {
+		if c.send(fmt.Sprintf("%sContent-Length: %d\r\n\r\n%s", request, len(body), body)) {
+			_, _ = c.awaitAnswer()
+		}
+	}}
+}
