Frames of peers take memory for what has come, within a bound on all

What callers saw: a front ends for want of memory when others than sides and fronts connect to its link and send frames that stop short.

Cause: a frame of up to 4 MB took its memory as soon as its length was there, and nothing bounded the sum. A list element of one byte on the wire takes up to a hundred once it is decoded, and decoded reports waited in the planner's inbox without a bound on their size.

Fix: a frame of an accepted connection is received into a buffer that grows with what has come. Frames over 4 KB count towards the memory of all clients, while they are received and while they are handled; their receiver has done with them before it receives the next. Lists have at most 16,384 elements and at least 8 bytes for each: all elements have a name.

--- a/cmd/gypsumcrank/crowd_link_test.go
+++ b/cmd/gypsumcrank/crowd_link_test.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/binary"
 	"errors"
+	"strings"
 
 	"github.com/fxamacker/cbor/v2"
 
@@ -45,11 +46,37 @@
 // linkCrowds returns the crowds that are played against the listener for other processes of the
 // system.
 func linkCrowds() []crowd {
-	const clients = 96
+	const (
+		clients   = 96
+		fullFrame = 4 << 20 // the longest that a peer accepts
+	)
 	hello := frameOf(link.Frame{Hello: &link.Hello{Node: "side-y"}})
+	// Lists of empty maps, which take one byte each on the wire: a call of the operation "none" whose
+	// transaction puts them, and a report that names them as running.
+	maps := "\x9a\x00\x01\x00\x00" + strings.Repeat("\xa0", 1<<16)
+	callList := "\xa1\x08\xa3\x01\x01\x02\x64none\x06\xa1\x63Put" + maps
+	reportList := "\xa1\x03\xa2\x01\x66side-y\x0d" + maps
+	call := frameOf(link.Frame{Call: &link.Call{ID: 1, Op: link.OpList, Key: "op/"}})
 	return []crowd{
+		{"frame_short", clients, 1, func(c *crowdClient) { _ = c.send(frameHead(fullFrame)) && c.repeat("a", fullFrame-crowdLine) }},
+		{"frame_only_announced", clients, 1, func(c *crowdClient) { c.send(frameHead(fullFrame)) }},
+		{"frame_over_limit", clients, 2, func(c *crowdClient) { _ = c.send(frameHead(1<<31)) && c.repeat("a", crowdFar) }},
+		{"frame_short_after_hello", clients, 1, func(c *crowdClient) {
+			_ = c.send(hello) && c.send(frameHead(fullFrame)) && c.repeat("a", fullFrame-crowdLine)
+		}},
+		{"frame_short_after_call", clients, 1, func(c *crowdClient) {
+			_ = c.send(call) && c.send(frameHead(fullFrame)) && c.repeat("a", fullFrame-crowdLine)
+		}},
 		{"no_frames", clients, 2, func(c *crowdClient) { c.repeat("GET / HTTP/1.1\r\n\r\n", crowdFar) }},
+		{"empty_frames", clients, 2, func(c *crowdClient) { c.repeat(frameHead(0), crowdShort) }},
+		{"calls_of_many_elements", 16, 2, func(c *crowdClient) { c.repeat(frameHead(len(callList))+callList, crowdFar) }},
+		{"reports_of_many_elements", 16, 2, func(c *crowdClient) { _ = c.send(hello) && c.repeat(frameHead(len(reportList))+reportList, crowdFar) }},
 		{"hellos", clients, 1, func(c *crowdClient) { c.repeat(hello, crowdShort) }},
+		{"slow_frame", clients, 1, func(c *crowdClient) { _ = c.send(frameHead(fullFrame)) && c.trickle(strings.Repeat("a", 8<<10)) }},
+		{"reset_in_frame", clients, 10, func(c *crowdClient) {
+			_ = c.send(frameHead(fullFrame)) && c.repeat("a", fullFrame/8)
+			c.resetOnClose()
+		}},
 		{"silent", 3 * crowdMaxSockets, 1, func(*crowdClient) {}},
 		{"silent_after_hello", 3 * crowdMaxSockets, 1, func(c *crowdClient) { c.send(hello) }},
 	}
--- a/cmd/gypsumcrank/limits.go
+++ b/cmd/gypsumcrank/limits.go
@@ -11,6 +11,7 @@
 	"gypsumcrank/core/fault"
 	"gypsumcrank/io/guard"
 	"gypsumcrank/io/httpd"
+	"gypsumcrank/io/link"
 	"gypsumcrank/platform"
 )
 
@@ -110,8 +111,10 @@
 	}
 	g := &guard.Guard{Log: log}
 	if memory > 0 {
+		// The largest request, and the largest frame of a peer, fit on any host.
 		receiving, handling := flags.limits().RequestMemory()
-		g.Receiving, g.Handling = max(memory/2, receiving), max(memory/2, handling) // the largest request fits on any host
+		frameReceiving, frameHandling := link.FrameMemory()
+		g.Receiving, g.Handling = max(memory/2, receiving, frameReceiving), max(memory/2, handling, frameHandling)
 	}
 	return listeners{flags, settings, g}
 }
--- a/io/link/link.go
+++ b/io/link/link.go
@@ -26,13 +26,45 @@
 
 // Limits of a connection.
 const (
-	maxFrame = 4 << 20 // bytes; a report of some thousand tasks fits
+	maxFrame  = 4 << 20 // bytes; a report of some thousand tasks fits
+	baseFrame = 4 << 10 // bytes; most frames fit, and each connection has space for one
 	// maxQueued is how many frames may wait for a slow peer: more than the orders for all tasks of
 	// several of the largest jobs.
 	maxQueued    = 16 << 10
 	writeTimeout = 2 * time.Second
 )
 
+// Limits of the lists in a frame of an accepted connection. Decoded they may take far more memory
+// than on the wire.
+const (
+	// maxListed is the maximum length of a list: no worker has more tasks.
+	maxListed = 16 << 10
+	// listedSize is the minimum size on the wire of an element, in bytes; all have at least a name.
+	listedSize = 8
+	// listedMemory is what such a list takes in memory, at most, per byte on the wire.
+	listedMemory = 10
+	// maxListedMemory is what all lists of a frame take in memory at most, in bytes.
+	maxListedMemory = 4 << 20
+)
+
+// FrameMemory returns how many bytes the largest frame of an accepted connection takes at most while
+// it is received, and while it is handled.
+func FrameMemory() (receiving, handling int64) { return maxFrame, int64(decodedMemory(maxFrame)) }
+
+// decodedMemory returns the memory that a frame of the given size takes at most once it is decoded.
+func decodedMemory(size int) int { return min(listedMemory*size, size+maxListedMemory) }
+
+// acceptedFrames decodes the frames of accepted connections.
+var acceptedFrames = mustDecMode(cbor.DecOptions{MaxArrayElements: maxListed, MaxMapPairs: maxListed})
+
+func mustDecMode(o cbor.DecOptions) cbor.DecMode {
+	m, err := o.DecMode()
+	if err != nil {
+		panic(err) // the options are constants
+	}
+	return m
+}
+
 // Hello opens a side's connection.
 type Hello struct {
 	Node string `cbor:"1,keyasint"`
@@ -81,6 +113,8 @@
 	heard    atomic.Int64 // when the last frame was received, or the connection made
 	done     chan struct{}
 
+	heavy bool // the last frame takes more memory than each connection has
+
 	mu     sync.Mutex
 	queued []Frame // that run has not taken yet
 }
@@ -155,6 +189,9 @@
 	if c.accepted != nil {
 		c.accepted.AwaitClient()
 	}
+	if err := c.hold(0); err != nil {
+		return f, err
+	}
 	if err := c.raw.SetReadDeadline(time.Now().Add(wait.Duration())); err != nil {
 		return f, err
 	}
@@ -166,14 +203,88 @@
 	if n > maxFrame {
 		return f, fault.New(fault.TooLarge, "check that both processes run the same version", "frame of %d bytes is over the limit", n)
 	}
-	body := make([]byte, n)
-	if _, err := io.ReadFull(c.in, body); err != nil {
+	body, err := c.receiveBody(int(n))
+	if err != nil {
 		return f, err
 	}
 	c.heard.Store(int64(clock.System().Monotonic()))
-	return f, cbor.Unmarshal(body, &f)
+	if c.accepted == nil {
+		return f, cbor.Unmarshal(body, &f)
+	}
+	if c.heavy = len(body) > baseFrame; c.heavy {
+		if err := c.accepted.Serve(decodedMemory(len(body))); err != nil {
+			return f, err
+		}
+	}
+	return f, decodeAccepted(body, &f)
 }
 
+// receiveBody receives the body of a frame. It takes memory for what has come, not for what was
+// announced.
+func (c *Conn) receiveBody(n int) ([]byte, error) {
+	body := make([]byte, min(n, baseFrame))
+	for received := 0; ; {
+		if _, err := io.ReadFull(c.in, body[received:]); err != nil {
+			return nil, err
+		}
+		if received = len(body); received == n {
+			return body, nil
+		}
+		larger := min(n, 2*received)
+		if err := c.hold(larger); err != nil {
+			return nil, err
+		}
+		body = append(make([]byte, 0, larger), body...)[:larger]
+	}
+}
+
+// hold accounts for the memory that a frame takes, if the connection was accepted.
+func (c *Conn) hold(bytes int) error {
+	if c.accepted == nil {
+		return nil
+	}
+	return c.accepted.Hold(max(0, bytes-baseFrame))
+}
+
+// decodeAccepted decodes a frame of an accepted connection.
+func decodeAccepted(body []byte, f *Frame) error {
+	if err := acceptedFrames.Unmarshal(body, f); err != nil {
+		return err
+	}
+	if f.listed()*listedSize > len(body) {
+		return fault.New(fault.Invalid, "check that both processes run the same version", "frame of %d bytes lists %d elements", len(body), f.listed())
+	}
+	return nil
+}
+
+// listed returns the number of elements of all lists in a frame.
+func (f *Frame) listed() int {
+	n := 0
+	if w := f.Welcome; w != nil {
+		n += len(w.Fronts)
+	}
+	if r := f.Report; r != nil {
+		n += len(r.Running) + len(r.Ended) + len(r.EarlierStarts)
+		if r.Departure != nil {
+			n += len(r.Departure.Unanswered)
+		}
+	}
+	if c := f.Call; c != nil && c.Txn != nil {
+		n += len(c.Txn.If) + len(c.Txn.Put) + len(c.Txn.Delete)
+	}
+	if r := f.Reply; r != nil {
+		n += len(r.KVs) + len(r.Changes)
+	}
+	if p := f.Forecast; p != nil {
+		n += len(p.Services)
+	}
+	return n
+}
+
+// Heavy reports whether the last frame takes much memory. A receiver that has done with it before
+// it receives the next one keeps the memory of all connections within its limit.
+func (c *Conn) Heavy() bool { return c.heavy }
+
 // Close ends the connection; frames still queued are lost.
 func (c *Conn) Close() {
 	c.once.Do(func() {
--- a/io/steer/steer.go
+++ b/io/steer/steer.go
@@ -240,6 +240,9 @@
 		switch {
 		case f.Report != nil:
 			alive = t.loop.Send(*f.Report)
+			if alive && c.Heavy() {
+				alive = t.loop.Do(func() {}) // until the planner has done with it
+			}
 		case f.Result != nil:
 			alive = t.loop.Send(*f.Result)
 		case f.Hello != nil:
