Calls of peers are bounded until their replies are taken

What callers saw: a front ends for want of memory, and has no descriptors left for its own calls to the store, when somebody sends calls to its link and does not take the replies.

Cause: each call of a peer took a goroutine and a connection to the store, and each reply waited in a queue of 16,384 frames, however large. A poll could wait for as long as its sender asked.

Fix: 256 calls of a connection and 512 of all may be under way, 4 lists of all; one counts until its reply is sent or its connection has ended. Others are refused at once, not_run, as unavailable: a front then asks another peer. A peer that leaves 1,024 replies loses its connection.

Counted: peer_calls_refused.

--- a/cmd/gypsumcrank/crowd_link_test.go
+++ b/cmd/gypsumcrank/crowd_link_test.go
@@ -57,6 +57,7 @@
 	callList := "\xa1\x08\xa3\x01\x01\x02\x64none\x06\xa1\x63Put" + maps
 	reportList := "\xa1\x03\xa2\x01\x66side-y\x0d" + maps
 	call := frameOf(link.Frame{Call: &link.Call{ID: 1, Op: link.OpList, Key: "op/"}})
+	poll := frameOf(link.Frame{Call: &link.Call{ID: 1, Op: link.OpPoll, Key: "none/", Wait: clock.Minute}})
 	return []crowd{
 		{"frame_short", clients, 1, func(c *crowdClient) { _ = c.send(frameHead(fullFrame)) && c.repeat("a", fullFrame-crowdLine) }},
 		{"frame_only_announced", clients, 1, func(c *crowdClient) { c.send(frameHead(fullFrame)) }},
@@ -72,6 +73,8 @@
 		{"calls_of_many_elements", 16, 2, func(c *crowdClient) { c.repeat(frameHead(len(callList))+callList, crowdFar) }},
 		{"reports_of_many_elements", 16, 2, func(c *crowdClient) { _ = c.send(hello) && c.repeat(frameHead(len(reportList))+reportList, crowdFar) }},
 		{"hellos", clients, 1, func(c *crowdClient) { c.repeat(hello, crowdShort) }},
+		{"unread_replies", 16, 1, func(c *crowdClient) { c.repeat(call, 64<<10) }},
+		{"polls", 16, 1, func(c *crowdClient) { c.repeat(poll, 64<<10) }},
 		{"slow_frame", clients, 1, func(c *crowdClient) { _ = c.send(frameHead(fullFrame)) && c.trickle(strings.Repeat("a", 8<<10)) }},
 		{"reset_in_frame", clients, 10, func(c *crowdClient) {
 			_ = c.send(frameHead(fullFrame)) && c.repeat("a", fullFrame/8)
--- a/io/link/link.go
+++ b/io/link/link.go
@@ -116,7 +116,14 @@
 	heavy bool // the last frame takes more memory than each connection has
 
 	mu     sync.Mutex
-	queued []Frame // that run has not taken yet
+	queued []outgoing // that run has not taken yet
+	ended  bool       // nothing is sent any more
+}
+
+// outgoing is a frame to be sent.
+type outgoing struct {
+	frame Frame
+	done  func() // called when the frame is sent, or never will be; may be nil
 }
 
 // New wraps a connection and starts its writer.
@@ -155,17 +162,23 @@
 
 // Send queues a frame. If a slow peer has let the queue fill, the connection is
 // closed.
-func (c *Conn) Send(f Frame) {
+func (c *Conn) Send(f Frame) { c.SendThen(f, nil) }
+
+// SendThen queues a frame like Send, and calls done when it is sent or never will be.
+func (c *Conn) SendThen(f Frame, done func()) {
 	c.sent.Store(int64(clock.System().Monotonic()))
 	c.mu.Lock()
+	ended := c.ended
 	full := len(c.queued) >= maxQueued
-	if !full {
-		c.queued = append(c.queued, f)
+	if !ended && !full {
+		c.queued = append(c.queued, outgoing{f, done})
 	}
 	c.mu.Unlock()
 	if full {
 		c.Close()
-		return
+	}
+	if (ended || full) && done != nil {
+		done()
 	}
 	select {
 	case c.wake <- struct{}{}:
@@ -296,32 +309,40 @@
 // Done returns a channel that is closed when the connection has ended.
 func (c *Conn) Done() <-chan struct{} { return c.done }
 
-// take returns the frames that wait.
-func (c *Conn) take() []Frame {
+// take returns the frames that wait. After the last call nothing is queued any more.
+func (c *Conn) take(last bool) []outgoing {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	out := c.queued
-	c.queued = nil
+	c.queued, c.ended = nil, c.ended || last
 	return out
 }
 
 func (c *Conn) run() {
 	w := bufio.NewWriter(c.raw)
-	for {
+	for open := true; open; {
 		select {
 		case <-c.done:
-			return
+			open = false
 		case <-c.wake:
 		}
-		for _, f := range c.take() {
-			if err := c.write(w, f); err != nil {
+		out := c.take(!open)
+		for _, o := range out {
+			if open && c.write(w, o.frame) != nil {
 				c.Close()
-				return
+				open = false
+			}
+			if o.done != nil {
+				o.done()
 			}
 		}
-		if err := w.Flush(); err != nil {
+		if open && w.Flush() != nil {
 			c.Close()
-			return
+		}
+	}
+	for _, o := range c.take(true) {
+		if o.done != nil {
+			o.done()
 		}
 	}
 }
--- a/io/relay/peer.go
+++ b/io/relay/peer.go
@@ -3,12 +3,14 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"gypsumcrank/core/admit"
 	"gypsumcrank/core/clock"
 	"gypsumcrank/core/fault"
 	"gypsumcrank/io/link"
+	"gypsumcrank/io/meter"
 )
 
 // peer is a connection to another process on which calls wait for their replies.
@@ -78,37 +80,114 @@
 	return Dispatch(ctx, r.Direct, c)
 }
 
-// Serve carries out the calls of one connection, replies to them, and passes its revision
-// notifications to notify and its forecasts to forecast, beginning with the first frame,
-// until the connection ends.
-func Serve(c *link.Conn, call Caller, notify func(rev int64), forecast func(*admit.Forecast), first link.Frame) {
+// Limits of the calls that are carried out for others, until their replies are sent.
+const (
+	maxPeerCalls = 256 // of one connection
+	maxCalls     = 512 // of all connections
+	maxLists     = 4   // of all connections; the reply to a list may be large
+	// maxUnsent is how many replies may wait on a connection whose peer doesn't take them.
+	maxUnsent = 1024
+	// maxPollWait is the longest wait of a poll.
+	maxPollWait = 2 * clock.Second
+)
+
+// Server carries out calls of other processes. Set the exported fields before Serve.
+type Server struct {
+	Call Caller
+	// OnWrite is called with the revisions that others have written.
+	OnWrite func(rev int64)
+	// OnForecast is called with forecasts of the planner.
+	OnForecast func(*admit.Forecast)
+
+	calls, lists atomic.Int64 // under way
+}
+
+// Serve carries out the calls of one connection and replies to them, beginning with the first
+// frame, until the connection ends.
+func (s *Server) Serve(c *link.Conn, first link.Frame) {
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
-	s := &server{conn: c, call: call}
+	p := &client{server: s, conn: c}
 	for f, err := first, error(nil); err == nil; f, err = c.Receive(idleTimeout) {
 		if f.Call != nil {
-			go s.run(ctx, *f.Call)
+			p.serve(ctx, *f.Call)
 		}
 		if f.WrittenRev > 0 {
-			notify(f.WrittenRev)
+			s.OnWrite(f.WrittenRev)
 		}
 		if f.Forecast != nil {
-			forecast(f.Forecast)
+			s.OnForecast(f.Forecast)
 		}
 	}
 }
 
-// server carries out calls for a peer.
-type server struct {
-	conn *link.Conn
-	call Caller
+// begin counts a call as under way, or reports that there are too many.
+func (s *Server) begin(op link.Op) bool {
+	if s.calls.Add(1) > maxCalls {
+		s.calls.Add(-1)
+		return false
+	}
+	if op == link.OpList && s.lists.Add(1) > maxLists {
+		s.lists.Add(-1)
+		s.calls.Add(-1)
+		return false
+	}
+	return true
+}
+
+func (s *Server) end(op link.Op) {
+	s.calls.Add(-1)
+	if op == link.OpList {
+		s.lists.Add(-1)
+	}
 }
 
-func (s *server) run(ctx context.Context, c link.Call) {
-	reply, err := s.call(ctx, c)
+// client is a connection whose calls are carried out.
+type client struct {
+	server *Server
+	conn   *link.Conn
+	calls  atomic.Int64 // under way
+	unsent atomic.Int64 // replies
+}
+
+// serve carries out a call, or refuses it if too many are under way.
+func (p *client) serve(ctx context.Context, c link.Call) {
+	if p.calls.Load() >= maxPeerCalls || !p.server.begin(c.Op) {
+		meter.Count("peer_calls_refused", 1)
+		err := unavailable("too many calls are under way here")
+		p.reply(link.Reply{ID: c.ID, Err: err}, func() {})
+		return
+	}
+	p.calls.Add(1)
+	if p.conn.Heavy() {
+		p.run(ctx, c)
+		return
+	}
+	go p.run(ctx, c)
+}
+
+func (p *client) run(ctx context.Context, c link.Call) {
+	if c.Op == link.OpPoll {
+		c.Wait = min(c.Wait, maxPollWait)
+	}
+	reply, err := p.server.Call(ctx, c)
 	reply.ID = c.ID
 	if err != nil {
 		reply.Err = fault.Of(err)
 	}
-	s.conn.Send(link.Frame{Reply: &reply})
+	p.reply(reply, func() {
+		p.calls.Add(-1)
+		p.server.end(c.Op)
+	})
+}
+
+// reply sends a reply, and calls done when it is sent or never will be.
+func (p *client) reply(r link.Reply, done func()) {
+	if p.unsent.Add(1) > maxUnsent {
+		p.conn.Close()
+	}
+	p.conn.SendThen(link.Frame{Reply: &r}, func() {
+		p.unsent.Add(-1)
+		done()
+	})
 }
--- a/io/relay/relay_test.go
+++ b/io/relay/relay_test.go
@@ -44,6 +44,7 @@
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	qt.Assert(t, err, qt.IsNil)
 	t.Cleanup(func() { _ = ln.Close() })
+	s := &relay.Server{Call: call, OnWrite: func(int64) {}, OnForecast: func(*admit.Forecast) {}}
 	go func() {
 		for {
 			raw, err := ln.Accept()
@@ -54,7 +55,7 @@
 			go func() {
 				f, err := c.Receive(clock.Second)
 				if err == nil {
-					relay.Serve(c, call, func(int64) {}, func(*admit.Forecast) {}, f)
+					s.Serve(c, f)
 				}
 				c.Close()
 			}()
