Connections to the store are bounded

What callers saw: a front has no descriptors left, for callers or for its own work, while the store is silent and many callers submit jobs.

Cause: each call to the store that finds no idle connection opens one, and callers whose requests wait hold one each besides their own.

Evidence: TestCrowdOfCallersBesideASilentStore, 384 callers who submit three jobs each while the store is silent: 141 sockets on the parent, of 128 that the machine allows.

--- a/cmd/gypsumcrank/crowd_test.go
+++ b/cmd/gypsumcrank/crowd_test.go
@@ -241,6 +241,30 @@
 	s.checkLimits(m)
 }
 
+// Callers whose requests wait for the store take descriptors too, theirs and those of the calls that
+// are made for them.
+func TestCrowdOfCallersBesideASilentStore(t *testing.T) {
+	listeners := crowdListeners()
+	s := startCrowdSite(t, "front-0", listeners, crowdMaxFDs)
+	s.checkServes("before the crowd")
+	m := s.meter()
+	s.store.SetFault(plat.Silent)
+	w := crowd{clients: 3 * crowdMaxSockets, rounds: 3, behave: func(c *crowdClient) {
+		const job = `{"task_spec":"x","steps":[{"count":1,"cpu":1000,"mem_mb":100,"estimate_ms":100}]}`
+		request := strings.Replace(crowdRequests["callers"], "00000000000000c1", fmt.Sprintf("%016x", 0xc000+c.number), 1)
+		if c.send(fmt.Sprintf("%sContent-Length: %d\r\n\r\n%s", request, len(job), job)) {
+			_, _ = c.awaitAnswer()
+		}
+	}}
+	conns := w.run(s.d.addr, "callers")
+	s.store.SetFault(plat.None)
+	for _, c := range conns {
+		_ = c.Close()
+	}
+	s.checkServes("after the crowd")
+	s.checkLimits(m)
+}
+
 // startSmallSite starts a front and a side on machines like those that the crowds meet.
 func startSmallSite(t *testing.T, maxFDs int) *site {
 	s := &site{dir: t.TempDir(), procs: make(map[string]*daemon), executors: make(map[string]*plat.Executor), limits: map[string]int{"memory_mb": crowdMemoryMB, "max_fds": maxFDs}}
--- a/cmd/gypsumcrank/front.go
+++ b/cmd/gypsumcrank/front.go
@@ -58,6 +58,7 @@
 func newFrontDaemon(settings platform.Settings, announce string, clients clientFlags, log *slog.Logger) *frontDaemon {
 	direct := platform.NewKV(settings.Store)
 	d := &frontDaemon{settings: settings, log: log, config: &route.Current{}, closed: &centre.Current{}, announced: announce, listeners: newListeners(clients, settings, log), workerSpeeds: true}
+	direct.LimitConnections(d.listeners.storeConnections())
 	if d.announced == "" {
 		d.announced = settings.Link
 	}
--- a/cmd/gypsumcrank/limits.go
+++ b/cmd/gypsumcrank/limits.go
@@ -18,13 +18,14 @@
 // clientFlags limit what the clients of a front or a side may take of its host. The zero value
 // stands for the defaults.
 type clientFlags struct {
-	MaxConnections int           `default:"${max_connections}" help:"Maximum number of open connections of each listener; it is lower on a host with few descriptors or little memory."`
-	MaxHeadBytes   int           `default:"${max_head_bytes}" help:"Maximum size of the head of a request, in bytes."`
-	MaxHeadFields  int           `default:"${max_head_fields}" help:"Maximum number of fields in the head of a request."`
-	ClientMemoryMB int           `default:"0" help:"Memory that the requests of all clients may take together, in MB; 0 means an eighth of the host's memory."`
-	MaxBodyBytes   int           `default:"${max_body_bytes}" help:"Maximum size of the body of a request, in bytes."`
-	RequestTimeout time.Duration `default:"${request_timeout}" help:"Maximum time from the first byte of a request to its last."`
-	IdleTimeout    time.Duration `default:"${idle_timeout}" help:"Maximum time without a request on an open connection."`
+	MaxConnections   int           `default:"${max_connections}" help:"Maximum number of open connections of each listener; it is lower on a host with few descriptors or little memory."`
+	MaxHeadBytes     int           `default:"${max_head_bytes}" help:"Maximum size of the head of a request, in bytes."`
+	MaxHeadFields    int           `default:"${max_head_fields}" help:"Maximum number of fields in the head of a request."`
+	StoreConnections int           `default:"0" help:"Maximum number of open connections to the store; 0 means a sixteenth of the host's descriptors."`
+	ClientMemoryMB   int           `default:"0" help:"Memory that the requests of all clients may take together, in MB; 0 means an eighth of the host's memory."`
+	MaxBodyBytes     int           `default:"${max_body_bytes}" help:"Maximum size of the body of a request, in bytes."`
+	RequestTimeout   time.Duration `default:"${request_timeout}" help:"Maximum time from the first byte of a request to its last."`
+	IdleTimeout      time.Duration `default:"${idle_timeout}" help:"Maximum time without a request on an open connection."`
 }
 
 // defaultConnections is the default of --max-connections.
@@ -78,6 +79,10 @@
 	reservedFiles = 200
 	// connectionMemory is what an open connection takes of the process, besides its receive buffer.
 	connectionMemory = 24 << 10
+	// storeSocketShare is the part of a host's sockets that connections to the store may take.
+	storeSocketShare = 1. / 16
+	// minStoreConnections leaves some to calls that don't wait for changes.
+	minStoreConnections = 8
 	// maxProbeConnections limits listeners that only a few clients use.
 	maxProbeConnections = 64
 )
@@ -141,6 +146,18 @@
 	return guard.Listener{Name: k.name, Addr: addr, MaxConns: max(n, minConnections), ReceiveBuffer: k.receiveBuffer, Guard: l.guard}
 }
 
+// storeConnections returns how many connections to the store may be open at a time; 0 for no limit.
+func (l listeners) storeConnections() int {
+	if n := l.flags.StoreConnections; n > 0 {
+		return max(minStoreConnections, n)
+	}
+	sockets := l.sockets()
+	if sockets == 0 {
+		return 0
+	}
+	return max(minStoreConnections, int(float64(sockets)*storeSocketShare))
+}
+
 // sockets returns how many sockets the process can open; 0 if that is not known.
 func (l listeners) sockets() int {
 	descriptors := l.settings.MaxFDs
--- a/cmd/gypsumcrank/platform.go
+++ b/cmd/gypsumcrank/platform.go
@@ -113,7 +113,9 @@
 
 // newSide creates a side and a kernel with its services.
 func newSide(settings platform.Settings, l listeners, log *slog.Logger) (*kern.Kernel, *side.Side) {
-	s := &side.Side{Node: settings.Node, DataCentre: settings.DataCentre, Fronts: settings.Peers, Store: platform.NewKV(settings.Store), Worker: platform.NewWorker(settings.Worker), Log: log}
+	kv := platform.NewKV(settings.Store)
+	kv.LimitConnections(l.storeConnections())
+	s := &side.Side{Node: settings.Node, DataCentre: settings.DataCentre, Fronts: settings.Peers, Store: kv, Worker: platform.NewWorker(settings.Worker), Log: log}
 	heartbeats := &httpd.Server{Listener: l.listen(controlListener, settings.Control), Limits: l.flags.limits(), Log: log}
 	platform.ServeHeartbeats(heartbeats, s)
 	k := &kern.Kernel{Log: log}
