Callers don't fill the log

What callers saw: nothing; operators a log that callers fill, in which other lines are dropped, and a process whose lines take its memory while its output is blocked.

Cause: a call that is not admitted writes a line with its whole method and path, up to the size of a head, 2,000 times a second. The queue of the log was bounded in lines only.

Fix: 128 bytes of what a caller sends stand in a line; 50 lines a second are written about calls of one kind that are not admitted, and their count says how many calls each stands for; callers_not_admitted counts all. The log cuts lines off at 4 KB and buffers 4 MB at most.

TestRejectedCallsAreLoggedBriefly and TestLongLinesTakeLimitedMemory hold these limits.

--- a/cmd/gypsumcrank/crowd_test.go
+++ b/cmd/gypsumcrank/crowd_test.go
@@ -265,6 +265,33 @@
 	s.checkLimits(m)
 }
 
+// What callers send stands in some log lines. It doesn't fill the log.
+func TestCrowdOfLongPathsIsLoggedBriefly(t *testing.T) {
+	const maxLog = 1 << 20 // bytes
+	s := startCrowdSite(t, "front-0", crowdListeners(), crowdMaxFDs)
+	s.checkServes("before the crowd")
+	m := s.meter()
+	path := strings.Repeat("p", 12<<10)
+	conns := crowd{clients: crowdMaxSockets / 2, behave: func(c *crowdClient) {
+		for range 20 {
+			if !c.send(fmt.Sprintf("GET /%s HTTP/1.1\r\nHost: %s\r\n\r\n", path, path[:1<<10])) {
+				return
+			}
+			if _, err := c.awaitAnswer(); err != nil {
+				return
+			}
+		}
+	}}.run(s.d.addr, "callers")
+	for _, c := range conns {
+		_ = c.Close()
+	}
+	s.checkServes("after the crowd")
+	s.checkLimits(m)
+	if n := len(s.d.out.String()); n > maxLog {
+		t.Errorf("%d bytes were logged, of %d at most", n, maxLog)
+	}
+}
+
 // startSmallSite starts a front and a side on machines like those that the crowds meet.
 func startSmallSite(t *testing.T, maxFDs int) *site {
 	s := &site{dir: t.TempDir(), procs: make(map[string]*daemon), executors: make(map[string]*plat.Executor), limits: map[string]int{"memory_mb": crowdMemoryMB, "max_fds": maxFDs}}
--- a/io/front/age.go
+++ b/io/front/age.go
@@ -46,6 +46,6 @@
 func (f *Front) RecordAdmitted(method, path string, a route.Admission, maxAge clock.Millis) {
 	meter.Observe("admitted_config_age", a.Age)
 	if f.agePeak.rise(f.Clock.Monotonic(), a.Age, maxAge) {
-		f.Log.Info("admitted_by_old_config", "method", method, "path", path, "config_version", a.Version, "config_age", a.Age, "max_age", maxAge)
+		f.Log.Info("admitted_by_old_config", "method", clip(method), "path", clip(path), "config_version", a.Version, "config_age", a.Age, "max_age", maxAge)
 	}
 }
--- a/io/front/export_test.go
+++ b/io/front/export_test.go
@@ -11,3 +11,6 @@
 	defer x.mu.Unlock()
 	return x.jobs[id] != nil && x.jobs[id].ended != nil
 }
+
+// MaxRejectedLines exposes maxRejectedLines to tests.
+const MaxRejectedLines = maxRejectedLines
--- a/io/front/front.go
+++ b/io/front/front.go
@@ -6,6 +6,7 @@
 	"context"
 	"log/slog"
 	"math/rand/v2"
+	"sync"
 	"time"
 
 	"gypsumcrank/core/admit"
@@ -13,6 +14,7 @@
 	"gypsumcrank/core/fault"
 	"gypsumcrank/core/route"
 	"gypsumcrank/core/task"
+	"gypsumcrank/io/logs"
 	"gypsumcrank/io/meter"
 	"gypsumcrank/io/store"
 )
@@ -39,6 +41,11 @@
 	// long outage it is as long as the outage has lasted, up to maxRetryAfter.
 	minRetryAfter = clock.Second
 	maxRetryAfter = 4 * clock.Second
+	// maxLogged is how many bytes of a caller's text stand in a log line.
+	maxLogged = 128
+	// maxRejectedLines is how many lines a second are written about calls that were not admitted, by
+	// kind of error.
+	maxRejectedLines = 50
 )
 
 // Front serves callers. Set the exported fields before use.
@@ -60,9 +67,14 @@
 	Clock clock.Clock
 	Log   *slog.Logger
 
-	agePeak agePeak
+	agePeak  agePeak
+	once     sync.Once
+	rejected logs.Sampler[fault.Kind]
 }
 
+// clip returns the beginning of a text that a caller has sent, for a log line.
+func clip(text string) string { return text[:min(len(text), maxLogged)] }
+
 // Submit accepts a job of a queue. A nil error means that the job is stored. An
 // error with outcome not_run means that it is not, and never will be.
 func (f *Front) Submit(ctx context.Context, q route.Queue, account string, j *task.Job) error {
@@ -138,12 +150,22 @@
 // LogRejected logs why a call was not admitted, and under which configuration
 // version. The path names the job; config_age is how long ago the version was
 // confirmed to be the newest.
+//
+// Anybody can cause such a line, so only some are written: count says how many calls a line stands
+// for.
 func (f *Front) LogRejected(method, path string, current *route.Current, err error) {
+	kind := fault.Of(err).Kind
+	meter.Count("callers_not_admitted", 1, string(kind))
+	f.once.Do(func() { f.rejected.Interval, f.rejected.Max = clock.Second, maxRejectedLines })
+	count := f.rejected.Due(kind, f.Clock.Monotonic())
+	if count == 0 {
+		return
+	}
 	version := int64(0)
 	if c := current.Get(); c != nil {
 		version = c.Version
 	}
-	f.Log.Info("caller_not_let_in", "method", method, "path", path, "config_version", version, "error", fault.Of(err).Kind, "reason", fault.Of(err).Detail, "config_age", current.Age())
+	f.Log.Info("caller_not_let_in", "count", count, "method", clip(method), "path", clip(path), "config_version", version, "error", kind, "reason", fault.Of(err).Detail, "config_age", current.Age())
 }
 
 // checkSupported refuses jobs that this version can't run within its guarantees.
--- a/io/front/front_test.go
+++ b/io/front/front_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"log/slog"
 	"net/http/httptest"
 	"runtime"
@@ -219,3 +220,22 @@
 	c.Check(out.String(), qt.Contains, "path=/q/00000000000000a2 config_version=7 error=not_found")
 	c.Check(out.String(), qt.Contains, "config_age=2s")
 }
+
+// Guards against a log that callers fill at will: with many lines, or with long ones.
+func TestRejectedCallsAreLoggedBriefly(t *testing.T) {
+	c := qt.New(t)
+	f, _ := newFront(t)
+	var out strings.Builder
+	f.Log, f.Clock = slog.New(slog.NewTextHandler(&out, nil)), clock.Manual(1)
+	current := &route.Current{}
+	_, err := current.Admit("h", "/", "k")
+	const calls = 1000
+	for range calls {
+		f.LogRejected(strings.Repeat("M", 10_000), "/"+strings.Repeat("a", 10_000), current, err)
+	}
+	c.Check(strings.Count(out.String(), "\n"), qt.Equals, front.MaxRejectedLines)
+	c.Check(out.Len() < front.MaxRejectedLines*1000, qt.IsTrue, qt.Commentf("%d bytes", out.Len()))
+	f.Clock.Advance(clock.Second)
+	f.LogRejected("GET", "/", current, err)
+	c.Check(out.String(), qt.Contains, fmt.Sprintf("count=%d", calls-front.MaxRejectedLines+1))
+}
--- a/io/httpd/httpd.go
+++ b/io/httpd/httpd.go
@@ -202,6 +202,14 @@
 // Param returns a named parameter of the registered path.
 func (r *Request) Param(name string) string { return r.c.Param(name) }
 
+// Warn logs an event that clients can cause as often as they like. One line stands for all such
+// events at the listener in some seconds.
+func (r *Request) Warn(event string, args ...any) {
+	if c, ok := r.c.GetConn().(*conn); ok {
+		c.Warn(event, args...)
+	}
+}
+
 // Query returns a query parameter.
 func (r *Request) Query(name string) string { return r.c.Query(name) }
 
--- a/io/logs/logs.go
+++ b/io/logs/logs.go
@@ -13,6 +13,7 @@
 	"fmt"
 	"io"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"gypsumcrank/core/clock"
@@ -20,8 +21,10 @@
 
 // Limits of a Writer.
 const (
-	maxQueued    = 4096 // lines in the queue
-	maxPerSecond = 2000 // lines per second; a planner writes about 300 at the target load
+	maxQueued    = 4096    // lines in the queue
+	maxLine      = 4 << 10 // bytes; the rest of a line is cut off
+	maxBytes     = 4 << 20 // bytes in the queue
+	maxPerSecond = 2000    // lines per second; a planner writes about 300 at the target load
 	closeTimeout = 300 * clock.Millisecond
 )
 
@@ -38,6 +41,8 @@
 	queue   chan []byte
 	done    chan struct{}
 	closed  bool
+
+	queuedBytes atomic.Int64
 }
 
 // Start starts the goroutine that writes to Out.
@@ -55,21 +60,33 @@
 		w.second, w.lines = second, 0
 	}
 	w.lines++
-	if w.closed || w.lines > maxPerSecond || !w.enqueue(bytes.Clone(line)) {
+	if w.closed || w.lines > maxPerSecond || w.queuedBytes.Load() >= maxBytes || !w.enqueue(cut(line)) {
 		w.dropped++
 	}
 	return len(line), nil
 }
 
+// cut returns a copy of line that is not too long.
+func cut(line []byte) []byte {
+	if len(line) <= maxLine {
+		return bytes.Clone(line)
+	}
+	const end = "...\n"
+	return append(bytes.Clone(line[:maxLine-len(end)]), end...)
+}
+
 // enqueue queues a line and reports whether there was space. If lines have been
 // dropped, a log_dropped line with their number goes before it.
 func (w *Writer) enqueue(line []byte) bool {
 	if w.dropped > 0 && len(w.queue) < cap(w.queue)-1 {
-		w.queue <- fmt.Appendf(nil, "level=WARN msg=log_dropped lines=%d\n", w.dropped)
+		report := fmt.Appendf(nil, "level=WARN msg=log_dropped lines=%d\n", w.dropped)
+		w.queue <- report
+		w.queuedBytes.Add(int64(len(report)))
 		w.dropped = 0
 	}
 	select {
 	case w.queue <- line:
+		w.queuedBytes.Add(int64(len(line)))
 		return true
 	default:
 		return false
@@ -111,5 +128,6 @@
 		}
 		// There is nowhere to report a failure to write the log.
 		_, _ = w.Out.Write(batch.Bytes())
+		w.queuedBytes.Add(-int64(batch.Len()))
 	}
 }
--- a/io/logs/logs_test.go
+++ b/io/logs/logs_test.go
@@ -54,3 +54,25 @@
 	w.Close()
 	qt.Assert(t, strings.HasSuffix(out.String(), "msg=log_dropped lines=7\nmsg=later\n"), qt.IsTrue)
 }
+
+// Guards against a process that ends for want of memory while its output is blocked: callers choose
+// what stands in some lines.
+func TestLongLinesTakeLimitedMemory(t *testing.T) {
+	c := qt.New(t)
+	out := &blockedOutput{unblock: make(chan struct{})}
+	w := &Writer{Out: out, Clock: clock.Manual(1)}
+	w.Start()
+	line := []byte("path=" + strings.Repeat("a", 100<<10) + "\n")
+	for range maxPerSecond {
+		n, err := w.Write(line)
+		c.Assert(err, qt.IsNil)
+		c.Assert(n, qt.Equals, len(line))
+	}
+	c.Check(w.Dropped() > 0, qt.IsTrue)
+	close(out.unblock)
+	w.Close()
+	c.Check(out.buf.Len() <= maxBytes+maxLine, qt.IsTrue, qt.Commentf("%d bytes", out.buf.Len()))
+	first, _, _ := strings.Cut(out.buf.String(), "\n")
+	c.Check(len(first), qt.Equals, maxLine-1)
+	c.Check(strings.HasSuffix(first, "aaa..."), qt.IsTrue)
+}
