--- a/cmd/gypsumcrank/crowd_test.go
+++ b/cmd/gypsumcrank/crowd_test.go
@@ -8,12 +8,14 @@
 	"strconv"
 	"strings"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
 	"golang.org/x/sys/unix"
 
 	"gypsumcrank/internal/standin/plat"
+	"gypsumcrank/io/link"
 )
 
 // Limits of the machines that the crowds meet. They are low, so that a small crowd
@@ -265,6 +267,43 @@
 	s.checkLimits(m)
 }
 
+// A process that is told to stop ends, whoever is connected.
+func TestCrowdDoesNotKeepAProcessFromStopping(t *testing.T) {
+	listeners := crowdListeners()
+	for _, l := range listeners {
+		t.Run(l.name, func(t *testing.T) {
+			s := startCrowdSite(t, l.process, listeners, crowdMaxFDs)
+			s.checkServes("before the crowd")
+			conns := crowd{clients: crowdMaxSockets / 2, behave: func(c *crowdClient) {
+				switch c.number % 4 {
+				case 0:
+					c.send(crowdRequests[l.name])
+				case 1:
+					c.repeat(crowdQueries[l.name]+frameOf(link.Frame{}), crowdShort)
+				case 2:
+					c.send(frameHead(crowdShort))
+				}
+			}}.run(l.addr(s.d), l.name)
+			if err := s.d.cmd.Process.Signal(syscall.SIGTERM); err != nil {
+				t.Fatal(err)
+			}
+			ended := make(chan error, 1)
+			go func() { ended <- s.d.cmd.Wait() }()
+			select {
+			case err := <-ended:
+				if err != nil {
+					t.Errorf("the process ended with %v", err)
+				}
+			case <-time.After(crowdAnswerTimeout):
+				t.Errorf("the process has not ended within %s", crowdAnswerTimeout)
+			}
+			for _, c := range conns {
+				_ = c.Close()
+			}
+		})
+	}
+}
+
 // What callers send stands in some log lines. It doesn't fill the log.
 func TestCrowdOfLongPathsIsLoggedBriefly(t *testing.T) {
 	const maxLog = 1 << 20 // bytes
--- a/cmd/gypsumcrank/front.go
+++ b/cmd/gypsumcrank/front.go
@@ -71,7 +71,7 @@
 	d.configMirror = &mirror.Mirror{Prefix: platform.ConfigRoot, Store: d.store, Log: log, OnChange: d.applyOperatorChanges, MaxDelay: settings.OperatorDelay()}
 	d.config.Freshness, d.closed.ConfirmedAt = d.configMirror.Freshness, d.configMirror.ConfirmedAt
 	d.config.Stretch = d.configStretch
-	calls := &relay.Server{Call: d.relay.CallForPeer, OnWrite: d.jobMirror.ExpectRevision, OnForecast: d.takeForecast}
+	calls := &relay.Server{Call: d.relay.CallForPeer, MaxPeerCalls: clients.MaxPeerCalls, OnWrite: d.jobMirror.ExpectRevision, OnForecast: d.takeForecast}
 	d.steer = &steer.Coordinator{
 		Node: settings.Node, Announce: d.announced, Store: d.store, Mirror: d.jobMirror, Index: d.index, Config: d.config, Closed: d.closed, Plan: d.planSettings(settings), LeaseMin: settings.LeaseMin, Log: log,
 		ServePeer:  calls.Serve,
--- a/cmd/gypsumcrank/limits.go
+++ b/cmd/gypsumcrank/limits.go
@@ -12,6 +12,7 @@
 	"gypsumcrank/io/guard"
 	"gypsumcrank/io/httpd"
 	"gypsumcrank/io/link"
+	"gypsumcrank/io/relay"
 	"gypsumcrank/platform"
 )
 
@@ -21,6 +22,7 @@
 	MaxConnections   int           `default:"${max_connections}" help:"Maximum number of open connections of each listener; it is lower on a host with few descriptors or little memory."`
 	MaxHeadBytes     int           `default:"${max_head_bytes}" help:"Maximum size of the head of a request, in bytes."`
 	MaxHeadFields    int           `default:"${max_head_fields}" help:"Maximum number of fields in the head of a request."`
+	MaxPeerCalls     int           `default:"${max_peer_calls}" help:"Maximum number of calls to the store that are under way for one peer; twice as many may be for all."`
 	StoreConnections int           `default:"0" help:"Maximum number of open connections to the store; 0 means a sixteenth of the host's descriptors."`
 	ClientMemoryMB   int           `default:"0" help:"Memory that the requests of all clients may take together, in MB; 0 means an eighth of the host's memory."`
 	MaxBodyBytes     int           `default:"${max_body_bytes}" help:"Maximum size of the body of a request, in bytes."`
@@ -35,7 +37,7 @@
 func clientDefaults() map[string]string {
 	d := httpd.DefaultLimits()
 	return map[string]string{
-		"max_connections": strconv.Itoa(defaultConnections), "max_head_bytes": strconv.Itoa(d.MaxHead), "max_head_fields": strconv.Itoa(d.MaxFields), "max_body_bytes": strconv.Itoa(d.MaxBody),
+		"max_connections": strconv.Itoa(defaultConnections), "max_peer_calls": strconv.Itoa(relay.DefaultPeerCalls), "max_head_bytes": strconv.Itoa(d.MaxHead), "max_head_fields": strconv.Itoa(d.MaxFields), "max_body_bytes": strconv.Itoa(d.MaxBody),
 		"request_timeout": d.RequestTimeout.String(), "idle_timeout": d.IdleTimeout.String(),
 	}
 }
@@ -46,6 +48,7 @@
 	minHeadBytes   = 1 << 10
 	minHeadFields  = 16
 	minBodyBytes   = 4 << 10
+	minPeerCalls   = 16
 	minTimeout     = time.Second
 )
 
@@ -54,7 +57,7 @@
 		flag     string
 		got, min int
 	}{
-		{"max-connections", f.MaxConnections, minConnections}, {"max-head-bytes", f.MaxHeadBytes, minHeadBytes}, {"max-head-fields", f.MaxHeadFields, minHeadFields}, {"max-body-bytes", f.MaxBodyBytes, minBodyBytes},
+		{"max-connections", f.MaxConnections, minConnections}, {"max-head-bytes", f.MaxHeadBytes, minHeadBytes}, {"max-peer-calls", f.MaxPeerCalls, minPeerCalls}, {"max-head-fields", f.MaxHeadFields, minHeadFields}, {"max-body-bytes", f.MaxBodyBytes, minBodyBytes},
 	} {
 		if limit.got < limit.min {
 			return fault.New(fault.Invalid, "give a larger number, or leave it out", "--%s must be at least %d, got %d", limit.flag, limit.min, limit.got)
--- a/io/link/link.go
+++ b/io/link/link.go
@@ -22,6 +22,7 @@
 	"gypsumcrank/core/fault"
 	"gypsumcrank/core/plan"
 	"gypsumcrank/io/guard"
+	"gypsumcrank/io/meter"
 )
 
 // Limits of a connection.
@@ -214,7 +215,7 @@
 	}
 	n := binary.BigEndian.Uint32(head[:])
 	if n > maxFrame {
-		return f, fault.New(fault.TooLarge, "check that both processes run the same version", "frame of %d bytes is over the limit", n)
+		return f, c.refuse("too_large", fault.New(fault.TooLarge, "check that both processes run the same version", "frame of %d bytes is over the limit", n))
 	}
 	body, err := c.receiveBody(int(n))
 	if err != nil {
@@ -226,10 +227,13 @@
 	}
 	if c.heavy = len(body) > baseFrame; c.heavy {
 		if err := c.accepted.Serve(decodedMemory(len(body))); err != nil {
-			return f, err
+			return f, c.refuse("busy", err)
 		}
 	}
-	return f, decodeAccepted(body, &f)
+	if err := decodeAccepted(body, &f); err != nil {
+		return f, c.refuse("malformed", err)
+	}
+	return f, nil
 }
 
 // receiveBody receives the body of a frame. It takes memory for what has come, not for what was
@@ -245,12 +249,22 @@
 		}
 		larger := min(n, 2*received)
 		if err := c.hold(larger); err != nil {
-			return nil, err
+			return nil, c.refuse("busy", err)
 		}
 		body = append(make([]byte, 0, larger), body...)[:larger]
 	}
 }
 
+// refuse counts and logs that a frame of an accepted connection is refused because of err, which it
+// returns.
+func (c *Conn) refuse(reason string, err error) error {
+	if c.accepted != nil {
+		meter.Count("frames_refused", 1, reason)
+		c.accepted.Warn("frame_refused", "reason", reason, "error", err)
+	}
+	return err
+}
+
 // hold accounts for the memory that a frame takes, if the connection was accepted.
 func (c *Conn) hold(bytes int) error {
 	if c.accepted == nil {
--- a/io/relay/peer.go
+++ b/io/relay/peer.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"cmp"
 	"context"
 	"sync"
 	"sync/atomic"
@@ -82,9 +83,9 @@
 
 // Limits of the calls that are carried out for others, until their replies are sent.
 const (
-	maxPeerCalls = 256 // of one connection
-	maxCalls     = 512 // of all connections
-	maxLists     = 4   // of all connections; the reply to a list may be large
+	// DefaultPeerCalls is the default of Server.MaxPeerCalls.
+	DefaultPeerCalls = 256
+	maxLists         = 4 // of all connections; the reply to a list may be large
 	// maxUnsent is how many replies may wait on a connection whose peer doesn't take them.
 	maxUnsent = 1024
 	// maxPollWait is the longest wait of a poll.
@@ -94,6 +95,9 @@
 // Server carries out calls of other processes. Set the exported fields before Serve.
 type Server struct {
 	Call Caller
+	// MaxPeerCalls is how many calls of one connection may be under way, and half of how many may be of
+	// all connections; 0 stands for DefaultPeerCalls.
+	MaxPeerCalls int
 	// OnWrite is called with the revisions that others have written.
 	OnWrite func(rev int64)
 	// OnForecast is called with forecasts of the planner.
@@ -123,7 +127,7 @@
 
 // begin counts a call as under way, or reports that there are too many.
 func (s *Server) begin(op link.Op) bool {
-	if s.calls.Add(1) > maxCalls {
+	if s.calls.Add(1) > 2*s.maxPeerCalls() {
 		s.calls.Add(-1)
 		return false
 	}
@@ -135,6 +139,8 @@
 	return true
 }
 
+func (s *Server) maxPeerCalls() int64 { return int64(cmp.Or(s.MaxPeerCalls, DefaultPeerCalls)) }
+
 func (s *Server) end(op link.Op) {
 	s.calls.Add(-1)
 	if op == link.OpList {
@@ -152,7 +158,7 @@
 
 // serve carries out a call, or refuses it if too many are under way.
 func (p *client) serve(ctx context.Context, c link.Call) {
-	if p.calls.Load() >= maxPeerCalls || !p.server.begin(c.Op) {
+	if p.calls.Load() >= p.server.maxPeerCalls() || !p.server.begin(c.Op) {
 		meter.Count("peer_calls_refused", 1)
 		err := unavailable("too many calls are under way here")
 		p.reply(link.Reply{ID: c.ID, Err: err}, func() {})
--- a/io/relay/server_test.go
+++ b/io/relay/server_test.go
@@ -47,18 +47,18 @@
 	c := qt.New(t)
 	peer, release := startServer(c)
 	const more = 10
-	for i := range maxPeerCalls + more {
+	for i := range DefaultPeerCalls + more {
 		peer.Send(link.Frame{Call: &link.Call{ID: uint64(i + 1), Op: link.OpGet}})
 	}
 	for i := range more {
 		f, err := peer.Receive(clock.Minute)
 		c.Assert(err, qt.IsNil)
-		c.Check(f.Reply.ID, qt.Equals, uint64(maxPeerCalls+i+1))
+		c.Check(f.Reply.ID, qt.Equals, uint64(DefaultPeerCalls+i+1))
 		c.Check(fault.Is(f.Reply.Err, fault.StoreUnavailable), qt.IsTrue)
 		c.Check(f.Reply.Err.Outcome, qt.Equals, fault.NotRun)
 	}
 	close(release)
-	for range maxPeerCalls {
+	for range DefaultPeerCalls {
 		f, err := peer.Receive(clock.Minute)
 		c.Assert(err, qt.IsNil)
 		c.Check(f.Reply.OK, qt.IsTrue)
