Ordinary requests don't wait for memory that large ones hold

The crowds' ordinary request to a front is now also a job of 40 steps and 4 KB. It was served beside all crowds at once by retrying, but while requests that stop short hold all the memory for receiving, one of more than 2 KB waited half a second and got 503, up to a second long.

8 KB of each request now count for nothing, instead of 2 KB.

--- a/cmd/gypsumcrank/crowd_cpu_test.go
+++ b/cmd/gypsumcrank/crowd_cpu_test.go
@@ -50,5 +50,5 @@
 		qt.Check(t, got <= factor*body+slack, qt.IsTrue, qt.Commentf("%s: %d hundredths of a second, %d for a body", what.name, got, body))
 	}
 	qt.Check(t, s.checkNoneEnded(nil), qt.IsNil)
-	qt.Check(t, askHTTP("callers")(d.addr), qt.IsNil)
+	qt.Check(t, askCaller(d.addr), qt.IsNil)
 }
--- a/cmd/gypsumcrank/crowd_http_test.go
+++ b/cmd/gypsumcrank/crowd_http_test.go
@@ -30,7 +30,7 @@
 
 func crowdListeners() []crowdListener {
 	return []crowdListener{
-		{"callers", "front-0", func(d *daemon) string { return d.addr }, askHTTP("callers"), append(httpCrowds(), documentCrowd(crowdRequests["callers"], `{"task_spec":"x","steps":[`, `{},`, `{}]}`))},
+		{"callers", "front-0", func(d *daemon) string { return d.addr }, askCaller, append(httpCrowds(), documentCrowd(crowdRequests["callers"], `{"task_spec":"x","steps":[`, `{},`, `{}]}`))},
 		{"ready", "front-0", func(d *daemon) string { return d.ready }, askHTTP("ready"), httpCrowds()},
 		{"control", "side-0", func(d *daemon) string { return d.addr }, askHTTP("control"), append(httpCrowds(), documentCrowd(crowdRequests["control"], `{"service":"svc","state":"ready","labels":[`, `"",`, `""]}`))},
 		{"metrics", "side-0", func(d *daemon) string { return d.metrics }, askHTTP("metrics"), httpCrowds()},
@@ -38,6 +38,20 @@
 	}
 }
 
+// askCaller makes an ordinary request to a front, and submits an ordinary job: of 40 steps, 4 KB.
+func askCaller(addr string) error {
+	if err := askHTTP("callers")(addr); err != nil {
+		return err
+	}
+	job := `{"task_spec":"x","steps":[` + strings.TrimSuffix(strings.Repeat(`{"count":1,"cpu":500,"mem_mb":256,"estimate_ms":900,"checkpointing":true,"affinity":"r1"},`, 40), ",") + `]}`
+	request := strings.Replace(crowdRequests["callers"], "00000000000000c1", "00000000000000c0", 1)
+	status, err := sendRaw(addr, fmt.Sprintf("%sContent-Length: %d\r\n\r\n%s", request, len(job), job))
+	if err == nil && status != http.StatusOK {
+		err = fmt.Errorf("status %d to a job", status)
+	}
+	return err
+}
+
 // askHTTP returns a function that makes an ordinary request to a listener.
 func askHTTP(listener string) func(addr string) error {
 	return func(addr string) error {
--- a/io/httpd/conn.go
+++ b/io/httpd/conn.go
@@ -15,6 +15,9 @@
 const (
 	// baseBuffer is what a connection always has for what it receives; most requests fit.
 	baseBuffer = 2 << 10
+	// freeBuffer is what a connection may have without regard to others, so that those who send much
+	// don't keep ordinary requests out.
+	freeBuffer = 8 << 10
 	// writeBuffer holds most responses.
 	writeBuffer = 4 << 10
 )
--- a/io/httpd/receive.go
+++ b/io/httpd/receive.go
@@ -215,11 +215,11 @@
 	if expects || length == chunkedLength {
 		c.rewriteHead(h)
 	}
-	return refuseIfBusy(c.Serve(max(0, len(c.head)+len(c.body)-baseBuffer) * handlingFactor))
+	return refuseIfBusy(c.Serve(max(0, len(c.head)+len(c.body)-freeBuffer) * handlingFactor))
 }
 
-// hold accounts for a buffer of the given size, beyond what each connection has.
-func (c *conn) hold(size int) error { return refuseIfBusy(c.Hold(max(0, size-baseBuffer))) }
+// hold accounts for a buffer of the given size.
+func (c *conn) hold(size int) error { return refuseIfBusy(c.Hold(max(0, size-freeBuffer))) }
 
 // refuseIfBusy returns a refusal in place of a busy error.
 func refuseIfBusy(err error) error {
--- a/io/httpd/transport.go
+++ b/io/httpd/transport.go
@@ -21,6 +21,8 @@
 // ListenAndServe serves connections until the transport is closed.
 func (t *transport) ListenAndServe(handle network.OnData) error {
 	t.handle = handle
+	t.sessions.Add(1) // so that none is added while Shutdown waits for the last
+	defer t.sessions.Done()
 	for {
 		raw, err := t.listener.Accept()
 		if err != nil {
