--- a/cmd/gypsumcrank/crowd_http_test.go
+++ b/cmd/gypsumcrank/crowd_http_test.go
@@ -14,18 +14,20 @@
 
 // crowdRequests are the beginnings of an ordinary request with a body, by listener.
 var crowdRequests = map[string]string{
-	"callers": "POST /q/00000000000000c1 HTTP/1.1\r\nHost: jobs.example\r\nAuthorization: Bearer k1\r\nContent-Type: application/json\r\n",
-	"control": "POST /v1/executors/i-0/heartbeat HTTP/1.1\r\nHost: side\r\nContent-Type: application/json\r\n",
-	"ready":   "POST " + platform.ReadyPath + " HTTP/1.1\r\nHost: front\r\n",
-	"metrics": "POST /metrics HTTP/1.1\r\nHost: front\r\n",
+	"callers":       "POST /q/00000000000000c1 HTTP/1.1\r\nHost: jobs.example\r\nAuthorization: Bearer k1\r\nContent-Type: application/json\r\n",
+	"control":       "POST /v1/executors/i-0/heartbeat HTTP/1.1\r\nHost: side\r\nContent-Type: application/json\r\n",
+	"ready":         "POST " + platform.ReadyPath + " HTTP/1.1\r\nHost: front\r\n",
+	"metrics":       "POST /metrics HTTP/1.1\r\nHost: side\r\n",
+	"front_metrics": "POST /metrics HTTP/1.1\r\nHost: front\r\n",
 }
 
 // crowdQueries are whole ordinary requests without a body, by listener.
 var crowdQueries = map[string]string{
-	"callers": "GET /q/ HTTP/1.1\r\nHost: jobs.example\r\nAuthorization: Bearer k1\r\n\r\n",
-	"control": "POST /v1/executors/x-none/deregister HTTP/1.1\r\nHost: side\r\nContent-Length: 2\r\n\r\n{}",
-	"ready":   "GET " + platform.ReadyPath + " HTTP/1.1\r\nHost: front\r\n\r\n",
-	"metrics": "GET /metrics HTTP/1.1\r\nHost: front\r\n\r\n",
+	"callers":       "GET /q/ HTTP/1.1\r\nHost: jobs.example\r\nAuthorization: Bearer k1\r\n\r\n",
+	"control":       "POST /v1/executors/x-none/deregister HTTP/1.1\r\nHost: side\r\nContent-Length: 2\r\n\r\n{}",
+	"ready":         "GET " + platform.ReadyPath + " HTTP/1.1\r\nHost: front\r\n\r\n",
+	"metrics":       "GET /metrics HTTP/1.1\r\nHost: side\r\n\r\n",
+	"front_metrics": "GET /metrics HTTP/1.1\r\nHost: front\r\n\r\n",
 }
 
 func crowdListeners() []crowdListener {
@@ -34,6 +36,7 @@
 		{"ready", "front-0", func(d *daemon) string { return d.ready }, askHTTP("ready"), httpCrowds()},
 		{"control", "side-0", func(d *daemon) string { return d.addr }, askHTTP("control"), append(httpCrowds(), documentCrowd(crowdRequests["control"], `{"service":"svc","state":"ready","labels":[`, `"",`, `""]}`))},
 		{"metrics", "side-0", func(d *daemon) string { return d.metrics }, askHTTP("metrics"), httpCrowds()},
+		{"front_metrics", "front-0", func(d *daemon) string { return d.metrics }, askHTTP("front_metrics"), httpCrowds()},
 		{"link", "front-0", func(d *daemon) string { return d.link }, askLink, linkCrowds()},
 	}
 }
--- a/cmd/gypsumcrank/field.go
+++ b/cmd/gypsumcrank/field.go
@@ -179,7 +179,7 @@
 	if err := freeAddrs(&settings.Control); err != nil {
 		return err
 	}
-	k, _ := newSide(settings, newListeners(clientFlags{}, settings, log), log.With("process", settings.Node))
+	k, _ := newSide(settings, newHostLimits(clientFlags{}, settings, log), log.With("process", settings.Node))
 	h.wg.Add(2)
 	go h.runSide(ctx, k)
 	go h.runHeartbeats(ctx, w, settings.Control)
--- a/cmd/gypsumcrank/front.go
+++ b/cmd/gypsumcrank/front.go
@@ -52,13 +52,13 @@
 	metricsAddr  string // address where metrics are served; none if empty
 	workerSpeeds bool   // placement takes the speeds of workers into account
 	announced    string // address at which other processes reach this front
-	listeners    listeners
+	limits       hostLimits
 }
 
 func newFrontDaemon(settings platform.Settings, announce string, clients clientFlags, log *slog.Logger) *frontDaemon {
 	direct := platform.NewKV(settings.Store)
-	d := &frontDaemon{settings: settings, log: log, config: &route.Current{}, closed: &centre.Current{}, announced: announce, listeners: newListeners(clients, settings, log), workerSpeeds: true}
-	direct.LimitConnections(d.listeners.storeConnections())
+	d := &frontDaemon{settings: settings, log: log, config: &route.Current{}, closed: &centre.Current{}, announced: announce, limits: newHostLimits(clients, settings, log), workerSpeeds: true}
+	direct.LimitConnections(d.limits.storeConnections())
 	if d.announced == "" {
 		d.announced = settings.Link
 	}
@@ -76,7 +76,7 @@
 		Node: settings.Node, Announce: d.announced, Store: d.store, Mirror: d.jobMirror, Index: d.index, Config: d.config, Closed: d.closed, Plan: d.planSettings(settings), LeaseMin: settings.LeaseMin, Log: log,
 		ServePeer:  calls.Serve,
 		OnJobEnd:   d.notifyFronts,
-		Listener:   d.listeners.listen(linkListener, settings.Link),
+		Listener:   d.limits.listen(linkListener, settings.Link),
 		OnForecast: d.publishForecast,
 	}
 	d.ingress = &platform.Ingress{Config: d.config, Front: &front.Front{
@@ -169,13 +169,13 @@
 	k.Add("store", d.relay)
 	k.Add("jobs", d.jobMirror)
 	k.Add("config", d.configMirror)
-	callers := &httpd.Server{Listener: d.listeners.listen(callerListener, d.settings.Front), Limits: d.listeners.flags.limits(), Log: d.log, Fallback: d.serve}
+	callers := &httpd.Server{Listener: d.limits.listen(callerListener, d.settings.Front), Limits: d.limits.flags.requestLimits(), Log: d.log, Fallback: d.serve}
 	k.Add("callers", callers)
-	ready := &httpd.Server{Listener: d.listeners.listen(readyListener, d.settings.Ready), Limits: d.listeners.flags.limits(), Log: d.log}
+	ready := &httpd.Server{Listener: d.limits.listen(readyListener, d.settings.Ready), Limits: d.limits.flags.requestLimits(), Log: d.log}
 	ready.Handle("GET", platform.ReadyPath, d.ready)
 	k.Add("ready", ready)
 	k.Add("steer", d.steer)
-	addMetrics(k, d.metricsAddr, d.listeners, d.log)
+	addMetrics(k, d.metricsAddr, d.limits, d.log)
 	serving, stop := context.WithCancel(context.Background())
 	defer stop()
 	go d.runRegistration(serving)
--- a/cmd/gypsumcrank/limits.go
+++ b/cmd/gypsumcrank/limits.go
@@ -57,7 +57,7 @@
 		flag     string
 		got, min int
 	}{
-		{"max-connections", f.MaxConnections, minConnections}, {"max-head-bytes", f.MaxHeadBytes, minHeadBytes}, {"max-peer-calls", f.MaxPeerCalls, minPeerCalls}, {"max-head-fields", f.MaxHeadFields, minHeadFields}, {"max-body-bytes", f.MaxBodyBytes, minBodyBytes},
+		{"max-connections", f.MaxConnections, minConnections}, {"max-head-bytes", f.MaxHeadBytes, minHeadBytes}, {"client-memory-mb", f.ClientMemoryMB, 0}, {"store-connections", f.StoreConnections, 0}, {"max-peer-calls", f.MaxPeerCalls, minPeerCalls}, {"max-head-fields", f.MaxHeadFields, minHeadFields}, {"max-body-bytes", f.MaxBodyBytes, minBodyBytes},
 	} {
 		if limit.got < limit.min {
 			return fault.New(fault.Invalid, "give a larger number, or leave it out", "--%s must be at least %d, got %d", limit.flag, limit.min, limit.got)
@@ -71,7 +71,7 @@
 	return nil
 }
 
-func (f clientFlags) limits() httpd.Limits {
+func (f clientFlags) requestLimits() httpd.Limits {
 	return httpd.Limits{MaxHead: f.MaxHeadBytes, MaxFields: f.MaxHeadFields, MaxBody: f.MaxBodyBytes, IdleTimeout: f.IdleTimeout, RequestTimeout: f.RequestTimeout}
 }
 
@@ -80,6 +80,8 @@
 const (
 	// reservedFiles is how many of a host's descriptors are not for sockets.
 	reservedFiles = 200
+	// minSockets is what a process takes for granted on a host with fewer descriptors than that.
+	minSockets = 32
 	// connectionMemory is what an open connection takes of the process, besides its receive buffer.
 	connectionMemory = 24 << 10
 	// storeSocketShare is the part of a host's sockets that connections to the store may take.
@@ -108,34 +110,32 @@
 	metricsListener = listenerKind{name: "metrics", socketShare: 1. / 16, memoryShare: 1. / 32, receiveBuffer: 16 << 10, maxConns: maxProbeConnections}
 )
 
-// clientMemoryShare is the part of a host's memory that the requests of clients may take.
-const clientMemoryShare = 1. / 8
-
-// newListeners returns what makes the listeners of a process.
-func newListeners(flags clientFlags, settings platform.Settings, log *slog.Logger) listeners {
-	memory := int64(flags.ClientMemoryMB) << 20
-	if memory == 0 {
-		memory = int64(float64(settings.MemoryMB) * clientMemoryShare * (1 << 20))
-	}
-	g := &guard.Guard{Log: log}
-	if memory > 0 {
-		// The largest request, and the largest frame of a peer, fit on any host.
-		receiving, handling := flags.limits().RequestMemory()
-		frameReceiving, frameHandling := link.FrameMemory()
-		g.Receiving, g.Handling = max(memory/2, receiving, frameReceiving), max(memory/2, handling, frameHandling)
-	}
-	return listeners{flags, settings, g}
-}
+const (
+	// clientMemoryShare is the part of a host's memory that the requests of clients may take.
+	clientMemoryShare = 1. / 8
+	// defaultClientMemoryMB is that memory on a host of unknown size, in MB.
+	defaultClientMemoryMB = 64
+)
 
-// listeners makes the listeners of one process.
-type listeners struct {
+// hostLimits derives what clients may take of a process from its flags and its host.
+type hostLimits struct {
 	flags    clientFlags
 	settings platform.Settings
 	guard    *guard.Guard
 }
 
+// newHostLimits returns the limits of a process.
+func newHostLimits(flags clientFlags, settings platform.Settings, log *slog.Logger) hostLimits {
+	memoryMB := cmp.Or(float64(flags.ClientMemoryMB), float64(settings.MemoryMB)*clientMemoryShare, defaultClientMemoryMB)
+	half := int64(memoryMB * (1 << 20) / 2)
+	// The largest request, and the largest frame of a peer, fit on any host.
+	receiving, handling := flags.requestLimits().RequestMemory()
+	frameReceiving, frameHandling := link.FrameMemory()
+	return hostLimits{flags, settings, &guard.Guard{Receiving: max(half, receiving, frameReceiving), Handling: max(half, handling, frameHandling), Log: log}}
+}
+
 // listen returns a listener of a kind, which is not open yet.
-func (l listeners) listen(k listenerKind, addr string) guard.Listener {
+func (l hostLimits) listen(k listenerKind, addr string) guard.Listener {
 	n := cmp.Or(l.flags.MaxConnections, defaultConnections)
 	if k.maxConns > 0 {
 		n = min(n, k.maxConns)
@@ -150,7 +150,7 @@
 }
 
 // storeConnections returns how many connections to the store may be open at a time; 0 for no limit.
-func (l listeners) storeConnections() int {
+func (l hostLimits) storeConnections() int {
 	if n := l.flags.StoreConnections; n > 0 {
 		return max(minStoreConnections, n)
 	}
@@ -162,11 +162,14 @@
 }
 
 // sockets returns how many sockets the process can open; 0 if that is not known.
-func (l listeners) sockets() int {
+func (l hostLimits) sockets() int {
 	descriptors := l.settings.MaxFDs
 	var limit unix.Rlimit
 	if err := unix.Getrlimit(unix.RLIMIT_NOFILE, &limit); err == nil && (descriptors == 0 || limit.Cur < uint64(descriptors)) {
 		descriptors = int(min(limit.Cur, 1<<20))
 	}
-	return max(0, descriptors-reservedFiles)
+	if descriptors == 0 {
+		return 0
+	}
+	return max(minSockets, descriptors-reservedFiles)
 }
--- a/cmd/gypsumcrank/platform.go
+++ b/cmd/gypsumcrank/platform.go
@@ -101,22 +101,22 @@
 	ctx, stop := signalContext()
 	defer stop()
 	log.Info("process_start", "role", "side", "control", settings.Control, "worker", settings.Worker)
-	l := newListeners(c.clientFlags, settings, log)
-	k, s := newSide(settings, l, log)
+	limits := newHostLimits(c.clientFlags, settings, log)
+	k, s := newSide(settings, limits, log)
 	settingsReloader := &reloader{lastRead: settings, log: log, apply: func(next platform.Settings) { s.AddFronts(next.Peers) }}
 	go settingsReloader.run(ctx)
-	addMetrics(k, c.MetricsListen, l, log)
+	addMetrics(k, c.MetricsListen, limits, log)
 	err = k.Run(ctx)
 	log.Info("process_stop", "error", err)
 	return err
 }
 
 // newSide creates a side and a kernel with its services.
-func newSide(settings platform.Settings, l listeners, log *slog.Logger) (*kern.Kernel, *side.Side) {
+func newSide(settings platform.Settings, limits hostLimits, log *slog.Logger) (*kern.Kernel, *side.Side) {
 	kv := platform.NewKV(settings.Store)
-	kv.LimitConnections(l.storeConnections())
+	kv.LimitConnections(limits.storeConnections())
 	s := &side.Side{Node: settings.Node, DataCentre: settings.DataCentre, Fronts: settings.Peers, Store: kv, Worker: platform.NewWorker(settings.Worker), Log: log}
-	heartbeats := &httpd.Server{Listener: l.listen(controlListener, settings.Control), Limits: l.flags.limits(), Log: log}
+	heartbeats := &httpd.Server{Listener: limits.listen(controlListener, settings.Control), Limits: limits.flags.requestLimits(), Log: log}
 	platform.ServeHeartbeats(heartbeats, s)
 	k := &kern.Kernel{Log: log}
 	k.Add("side", s)
@@ -126,11 +126,11 @@
 
 // addMetrics serves the process's metrics as text at addr; an empty addr serves
 // none.
-func addMetrics(k *kern.Kernel, addr string, l listeners, log *slog.Logger) {
+func addMetrics(k *kern.Kernel, addr string, limits hostLimits, log *slog.Logger) {
 	if addr == "" {
 		return
 	}
-	srv := &httpd.Server{Listener: l.listen(metricsListener, addr), Limits: l.flags.limits(), Log: log}
+	srv := &httpd.Server{Listener: limits.listen(metricsListener, addr), Limits: limits.flags.requestLimits(), Log: log}
 	srv.Handle("GET", "/metrics", func(_ context.Context, r *httpd.Request) {
 		var b bytes.Buffer
 		if err := meter.Write(&b); err != nil {
