Tests: the crowds in four files, played in one way

All are played by crowdSite.play: the ones beside a silent store are now also checked while the crowd is there. The crowds and bounds are the same.

--- a/cmd/gypsumcrank/crowd_http_test.go
+++ b/cmd/gypsumcrank/crowd_http_test.go
@@ -134,77 +134,77 @@
 	large := fmt.Sprintf("%x\r\n", crowdShort)
 	const clients = 96
 	return []crowd{
-		{"long_head", clients, 2, func(c *crowdClient) { _ = c.begin("") && c.repeat(line, crowdFar) && c.send("\r\n") }},
-		{"endless_head", clients, 1, func(c *crowdClient) { _ = c.begin("") && c.repeat(line, crowdFar) }},
-		{"endless_head_line", clients, 1, func(c *crowdClient) { _ = c.begin("X-Filler: ") && c.repeat("a", crowdFar) }},
-		{"unfinished_head", clients, 1, func(c *crowdClient) { _ = c.begin("") && c.repeat(line, crowdShort) }},
-		{"endless_request_line", clients, 1, func(c *crowdClient) { _ = c.send("GET /") && c.repeat("a", crowdFar) }},
-		{"blank_lines", clients, 1, func(c *crowdClient) { c.repeat("\r\n", crowdFar) }},
-		{"blank_lines_kept_alive", clients, 1, func(c *crowdClient) { _ = query(c, c.listener) == nil && c.repeat("\r\n", crowdFar) }},
-		{"large_chunk_short", clients, 1, func(c *crowdClient) { _ = c.begin(chunked+large) && c.repeat("a", crowdShort-crowdLine) }},
-		{"large_chunks_endless", clients, 2, func(c *crowdClient) {
+		{name: "long_head", clients: clients, rounds: 2, behave: func(c *crowdClient) { _ = c.begin("") && c.repeat(line, crowdFar) && c.send("\r\n") }},
+		{name: "endless_head", clients: clients, behave: func(c *crowdClient) { _ = c.begin("") && c.repeat(line, crowdFar) }},
+		{name: "endless_head_line", clients: clients, behave: func(c *crowdClient) { _ = c.begin("X-Filler: ") && c.repeat("a", crowdFar) }},
+		{name: "unfinished_head", clients: clients, behave: func(c *crowdClient) { _ = c.begin("") && c.repeat(line, crowdShort) }},
+		{name: "endless_request_line", clients: clients, behave: func(c *crowdClient) { _ = c.send("GET /") && c.repeat("a", crowdFar) }},
+		{name: "blank_lines", clients: clients, behave: func(c *crowdClient) { c.repeat("\r\n", crowdFar) }},
+		{name: "blank_lines_kept_alive", clients: clients, behave: func(c *crowdClient) { _ = query(c, c.listener) == nil && c.repeat("\r\n", crowdFar) }},
+		{name: "large_chunk_short", clients: clients, behave: func(c *crowdClient) { _ = c.begin(chunked+large) && c.repeat("a", crowdShort-crowdLine) }},
+		{name: "large_chunks_endless", clients: clients, rounds: 2, behave: func(c *crowdClient) {
 			_ = c.begin(chunked) && c.repeat("4000\r\n"+strings.Repeat("a", 0x4000)+"\r\n", crowdFar)
 		}},
-		{"tiny_chunks_short", clients, 1, func(c *crowdClient) { _ = c.begin(chunked) && c.repeat("1\r\na\r\n", crowdShort) }},
-		{"tiny_chunks_endless", clients, 2, func(c *crowdClient) { _ = c.begin(chunked) && c.repeat("1\r\na\r\n", 2*crowdFar) }},
-		{"huge_chunk_announced", clients, 1, func(c *crowdClient) {
+		{name: "tiny_chunks_short", clients: clients, behave: func(c *crowdClient) { _ = c.begin(chunked) && c.repeat("1\r\na\r\n", crowdShort) }},
+		{name: "tiny_chunks_endless", clients: clients, rounds: 2, behave: func(c *crowdClient) { _ = c.begin(chunked) && c.repeat("1\r\na\r\n", 2*crowdFar) }},
+		{name: "huge_chunk_announced", clients: clients, behave: func(c *crowdClient) {
 			_ = c.begin(chunked+"7fffffffffffff00\r\n") && c.repeat("a", crowdShort)
 		}},
-		{"endless_chunk_size", clients, 1, func(c *crowdClient) { _ = c.begin(chunked) && c.repeat("0", crowdFar) }},
-		{"padded_chunk_size", clients, 1, func(c *crowdClient) { _ = c.begin(chunked+"1") && c.repeat(" ", crowdFar) }},
-		{"chunk_extensions", clients, 1, func(c *crowdClient) {
+		{name: "endless_chunk_size", clients: clients, behave: func(c *crowdClient) { _ = c.begin(chunked) && c.repeat("0", crowdFar) }},
+		{name: "padded_chunk_size", clients: clients, behave: func(c *crowdClient) { _ = c.begin(chunked+"1") && c.repeat(" ", crowdFar) }},
+		{name: "chunk_extensions", clients: clients, behave: func(c *crowdClient) {
 			_ = c.begin(chunked) && c.repeat("1;"+strings.Repeat("x", crowdLine)+"\r\na\r\n", crowdFar)
 		}},
-		{"endless_chunk_extension", clients, 1, func(c *crowdClient) { _ = c.begin(chunked+"1;") && c.repeat("x", crowdFar) }},
-		{"endless_trailers", clients, 1, func(c *crowdClient) { _ = c.begin(chunked+"1\r\na\r\n0\r\n") && c.repeat(line, crowdFar) }},
-		{"unfinished_trailers", clients, 1, func(c *crowdClient) { _ = c.begin(chunked+"1\r\na\r\n0\r\n") && c.repeat(line, crowdShort) }},
-		{"body_short", clients, 1, func(c *crowdClient) {
+		{name: "endless_chunk_extension", clients: clients, behave: func(c *crowdClient) { _ = c.begin(chunked+"1;") && c.repeat("x", crowdFar) }},
+		{name: "endless_trailers", clients: clients, behave: func(c *crowdClient) { _ = c.begin(chunked+"1\r\na\r\n0\r\n") && c.repeat(line, crowdFar) }},
+		{name: "unfinished_trailers", clients: clients, behave: func(c *crowdClient) { _ = c.begin(chunked+"1\r\na\r\n0\r\n") && c.repeat(line, crowdShort) }},
+		{name: "body_short", clients: clients, behave: func(c *crowdClient) {
 			_ = c.begin(fmt.Sprintf("Content-Length: %d\r\n\r\n", crowdShort)) && c.repeat("a", crowdShort-crowdLine)
 		}},
-		{"body_only_announced", clients, 1, func(c *crowdClient) {
+		{name: "body_only_announced", clients: clients, behave: func(c *crowdClient) {
 			_ = c.begin(fmt.Sprintf("Content-Length: %d\r\n\r\n", crowdShort)) && c.send("a")
 		}},
-		{"body_expected", clients, 1, func(c *crowdClient) {
+		{name: "body_expected", clients: clients, behave: func(c *crowdClient) {
 			_ = c.begin(fmt.Sprintf("Expect: 100-continue\r\nContent-Length: %d\r\n\r\n", crowdShort)) && c.repeat("a", crowdShort-crowdLine)
 		}},
-		{"far_body_announced", clients, 2, func(c *crowdClient) { _ = c.begin("Content-Length: 1073741824\r\n\r\n") && c.repeat("a", crowdFar) }},
-		{"far_body_sent", clients, 1, func(c *crowdClient) {
+		{name: "far_body_announced", clients: clients, rounds: 2, behave: func(c *crowdClient) { _ = c.begin("Content-Length: 1073741824\r\n\r\n") && c.repeat("a", crowdFar) }},
+		{name: "far_body_sent", clients: clients, behave: func(c *crowdClient) {
 			_ = c.begin(fmt.Sprintf("Content-Length: %d\r\n\r\n", 4*crowdFar)) && c.repeat("a", 4*crowdFar)
 		}},
-		{"form_of_a_large_file", clients, 1, func(c *crowdClient) {
+		{name: "form_of_a_large_file", clients: clients, behave: func(c *crowdClient) {
 			_ = c.begin(fmt.Sprintf("Content-Type: multipart/form-data; boundary=b\r\nContent-Length: %d\r\n\r\n", crowdShort)) &&
 				c.send("--b\r\nContent-Disposition: form-data; name=\"f\"; filename=\"f\"\r\n\r\n") && c.repeat("a", crowdShort-crowdLine)
 		}},
-		{"form_of_many_parts", clients, 1, func(c *crowdClient) {
+		{name: "form_of_many_parts", clients: clients, behave: func(c *crowdClient) {
 			_ = c.begin(fmt.Sprintf("Content-Type: multipart/form-data; boundary=b\r\nContent-Length: %d\r\n\r\n", crowdShort)) &&
 				c.repeat("--b\r\nContent-Disposition: form-data; name=\"f\"\r\n\r\na\r\n", crowdShort-crowdLine)
 		}},
-		{"bytes_behind_a_request", clients, 1, func(c *crowdClient) {
+		{name: "bytes_behind_a_request", clients: clients, behave: func(c *crowdClient) {
 			// What follows a whole request waits until that one is answered.
 			_ = c.begin("Content-Length: 1\r\n\r\na") && c.repeat("a", crowdFar)
 		}},
-		{"unread_answers", clients, 1, func(c *crowdClient) { c.repeat(crowdQueries[c.listener], crowdShort) }},
-		{"slow_head", clients, 1, func(c *crowdClient) { _ = c.begin("") && c.trickle(strings.Repeat(line, 8)) }},
-		{"slow_body", clients, 1, func(c *crowdClient) {
+		{name: "unread_answers", clients: clients, behave: func(c *crowdClient) { c.repeat(crowdQueries[c.listener], crowdShort) }},
+		{name: "slow_head", clients: clients, behave: func(c *crowdClient) { _ = c.begin("") && c.trickle(strings.Repeat(line, 8)) }},
+		{name: "slow_body", clients: clients, behave: func(c *crowdClient) {
 			_ = c.begin(fmt.Sprintf("Content-Length: %d\r\n\r\n", crowdShort)) && c.trickle(strings.Repeat("a", 8<<10))
 		}},
-		{"slow_chunks", clients, 1, func(c *crowdClient) { _ = c.begin(chunked) && c.trickle(strings.Repeat("1\r\na\r\n", 1<<10)) }},
-		{"slow_trailers", clients, 1, func(c *crowdClient) { _ = c.begin(chunked+"0\r\n") && c.trickle(strings.Repeat("a: b\r\n", 1<<10)) }},
-		{"reset_in_head", clients, 10, func(c *crowdClient) { _ = c.begin("") && c.repeat(line, 64<<10); c.resetOnClose() }},
-		{"reset_in_body", clients, 10, func(c *crowdClient) {
+		{name: "slow_chunks", clients: clients, behave: func(c *crowdClient) { _ = c.begin(chunked) && c.trickle(strings.Repeat("1\r\na\r\n", 1<<10)) }},
+		{name: "slow_trailers", clients: clients, behave: func(c *crowdClient) { _ = c.begin(chunked+"0\r\n") && c.trickle(strings.Repeat("a: b\r\n", 1<<10)) }},
+		{name: "reset_in_head", clients: clients, rounds: 10, behave: func(c *crowdClient) { _ = c.begin("") && c.repeat(line, 64<<10); c.resetOnClose() }},
+		{name: "reset_in_body", clients: clients, rounds: 10, behave: func(c *crowdClient) {
 			_ = c.begin(fmt.Sprintf("Content-Length: %d\r\n\r\n", crowdShort)) && c.repeat("a", crowdShort/4)
 			c.resetOnClose()
 		}},
-		{"reset_before_answer", clients, 10, func(c *crowdClient) { _ = c.send(crowdQueries[c.listener]); c.resetOnClose() }},
-		{"many_fields_kept_alive", clients, 1, func(c *crowdClient) { c.sendFields(crowdShort) }},
-		{"fields_kept_alive", clients, 1, func(c *crowdClient) { c.sendFields(15 << 10) }},
-		{"long_heads_kept_alive", clients, 1, func(c *crowdClient) {
+		{name: "reset_before_answer", clients: clients, rounds: 10, behave: func(c *crowdClient) { _ = c.send(crowdQueries[c.listener]); c.resetOnClose() }},
+		{name: "many_fields_kept_alive", clients: clients, behave: func(c *crowdClient) { c.sendFields(crowdShort) }},
+		{name: "fields_kept_alive", clients: clients, behave: func(c *crowdClient) { c.sendFields(15 << 10) }},
+		{name: "long_heads_kept_alive", clients: clients, behave: func(c *crowdClient) {
 			if c.begin("") && c.repeat(line, 14<<10) && c.send("Content-Length: 1\r\n\r\na") {
 				_, _ = c.awaitAnswer()
 			}
 		}},
-		{"silent", 3 * crowdMaxSockets, 1, func(*crowdClient) {}},
-		{"silent_kept_alive", 3 * crowdMaxSockets, 1, func(c *crowdClient) { _ = query(c, c.listener) }},
+		{name: "silent", clients: 3 * crowdMaxSockets, behave: func(*crowdClient) {}},
+		{name: "silent_kept_alive", clients: 3 * crowdMaxSockets, behave: func(c *crowdClient) { _ = query(c, c.listener) }},
 	}
 }
 
@@ -240,7 +240,7 @@
 func documentCrowd(request, before, element, after string) crowd {
 	n := (crowdShort - len(before) - len(after)) / len(element)
 	body := before + strings.Repeat(element, n) + after
-	return crowd{"document_of_many_elements", 16, 4, func(c *crowdClient) {
+	return crowd{name: "document_of_many_elements", clients: 16, rounds: 4, behave: func(c *crowdClient) {
 		if c.send(fmt.Sprintf("%sContent-Length: %d\r\n\r\n%s", request, len(body), body)) {
 			_, _ = c.awaitAnswer()
 		}
--- a/cmd/gypsumcrank/crowd_link_test.go
+++ b/cmd/gypsumcrank/crowd_link_test.go
@@ -59,28 +59,28 @@
 	call := frameOf(link.Frame{Call: &link.Call{ID: 1, Op: link.OpList, Key: "op/"}})
 	poll := frameOf(link.Frame{Call: &link.Call{ID: 1, Op: link.OpPoll, Key: "none/", Wait: clock.Minute}})
 	return []crowd{
-		{"frame_short", clients, 1, func(c *crowdClient) { _ = c.send(frameHead(fullFrame)) && c.repeat("a", fullFrame-crowdLine) }},
-		{"frame_only_announced", clients, 1, func(c *crowdClient) { c.send(frameHead(fullFrame)) }},
-		{"frame_over_limit", clients, 2, func(c *crowdClient) { _ = c.send(frameHead(1<<31)) && c.repeat("a", crowdFar) }},
-		{"frame_short_after_hello", clients, 1, func(c *crowdClient) {
+		{name: "frame_short", clients: clients, behave: func(c *crowdClient) { _ = c.send(frameHead(fullFrame)) && c.repeat("a", fullFrame-crowdLine) }},
+		{name: "frame_only_announced", clients: clients, behave: func(c *crowdClient) { c.send(frameHead(fullFrame)) }},
+		{name: "frame_over_limit", clients: clients, rounds: 2, behave: func(c *crowdClient) { _ = c.send(frameHead(1<<31)) && c.repeat("a", crowdFar) }},
+		{name: "frame_short_after_hello", clients: clients, behave: func(c *crowdClient) {
 			_ = c.send(hello) && c.send(frameHead(fullFrame)) && c.repeat("a", fullFrame-crowdLine)
 		}},
-		{"frame_short_after_call", clients, 1, func(c *crowdClient) {
+		{name: "frame_short_after_call", clients: clients, behave: func(c *crowdClient) {
 			_ = c.send(call) && c.send(frameHead(fullFrame)) && c.repeat("a", fullFrame-crowdLine)
 		}},
-		{"no_frames", clients, 2, func(c *crowdClient) { c.repeat("GET / HTTP/1.1\r\n\r\n", crowdFar) }},
-		{"empty_frames", clients, 2, func(c *crowdClient) { c.repeat(frameHead(0), crowdShort) }},
-		{"calls_of_many_elements", 16, 2, func(c *crowdClient) { c.repeat(frameHead(len(callList))+callList, crowdFar) }},
-		{"reports_of_many_elements", 16, 2, func(c *crowdClient) { _ = c.send(hello) && c.repeat(frameHead(len(reportList))+reportList, crowdFar) }},
-		{"hellos", clients, 1, func(c *crowdClient) { c.repeat(hello, crowdShort) }},
-		{"unread_replies", 16, 1, func(c *crowdClient) { c.repeat(call, 64<<10) }},
-		{"polls", 16, 1, func(c *crowdClient) { c.repeat(poll, 64<<10) }},
-		{"slow_frame", clients, 1, func(c *crowdClient) { _ = c.send(frameHead(fullFrame)) && c.trickle(strings.Repeat("a", 8<<10)) }},
-		{"reset_in_frame", clients, 10, func(c *crowdClient) {
+		{name: "no_frames", clients: clients, rounds: 2, behave: func(c *crowdClient) { c.repeat("GET / HTTP/1.1\r\n\r\n", crowdFar) }},
+		{name: "empty_frames", clients: clients, rounds: 2, behave: func(c *crowdClient) { c.repeat(frameHead(0), crowdShort) }},
+		{name: "calls_of_many_elements", clients: 16, rounds: 2, behave: func(c *crowdClient) { c.repeat(frameHead(len(callList))+callList, crowdFar) }},
+		{name: "reports_of_many_elements", clients: 16, rounds: 2, behave: func(c *crowdClient) { _ = c.send(hello) && c.repeat(frameHead(len(reportList))+reportList, crowdFar) }},
+		{name: "hellos", clients: clients, behave: func(c *crowdClient) { c.repeat(hello, crowdShort) }},
+		{name: "unread_replies", clients: 16, behave: func(c *crowdClient) { c.repeat(call, 64<<10) }},
+		{name: "polls", clients: 16, behave: func(c *crowdClient) { c.repeat(poll, 64<<10) }},
+		{name: "slow_frame", clients: clients, behave: func(c *crowdClient) { _ = c.send(frameHead(fullFrame)) && c.trickle(strings.Repeat("a", 8<<10)) }},
+		{name: "reset_in_frame", clients: clients, rounds: 10, behave: func(c *crowdClient) {
 			_ = c.send(frameHead(fullFrame)) && c.repeat("a", fullFrame/8)
 			c.resetOnClose()
 		}},
-		{"silent", 3 * crowdMaxSockets, 1, func(*crowdClient) {}},
-		{"silent_after_hello", 3 * crowdMaxSockets, 1, func(c *crowdClient) { c.send(hello) }},
+		{name: "silent", clients: 3 * crowdMaxSockets, behave: func(*crowdClient) {}},
+		{name: "silent_after_hello", clients: 3 * crowdMaxSockets, behave: func(c *crowdClient) { c.send(hello) }},
 	}
 }
--- a/cmd/gypsumcrank/crowd_test.go
+++ b/cmd/gypsumcrank/crowd_test.go
@@ -1,21 +1,14 @@
 package main
 
 import (
-	"fmt"
 	"net"
-	"os"
-	"path/filepath"
-	"strconv"
-	"strings"
 	"sync"
-	"syscall"
 	"testing"
 	"time"
 
 	"golang.org/x/sys/unix"
 
 	"gypsumcrank/internal/standin/plat"
-	"gypsumcrank/io/link"
 )
 
 // Limits of the machines that the crowds meet. They are low, so that a small crowd
@@ -50,6 +43,9 @@
 	// behave sends what this crowd sends on one connection. It returns once everything is sent or
 	// the connection is broken.
 	behave func(c *crowdClient)
+	// begin is called before the first client connects, and end when all have sent what they send;
+	// either may be nil.
+	begin, end func(s *crowdSite, m *crowdMeter)
 }
 
 // crowdListener is a listener of a front or side.
@@ -85,7 +81,7 @@
 		t.Run(l.name, func(t *testing.T) {
 			for _, w := range l.crowds {
 				t.Run(w.name, func(t *testing.T) {
-					runCrowd(t, l, listeners, w)
+					startCrowdSite(t, l.process, listeners, crowdMaxFDs).play(w, l)
 				})
 			}
 		})
@@ -138,9 +134,6 @@
 	}
 }
 
-// meter starts to measure what the process takes.
-func (s *crowdSite) meter() *crowdMeter { return startCrowdMeter(s.d.cmd.Process.Pid, s.d.ports()) }
-
 // checkLimits checks that the process has stayed within the limits of its machine.
 func (s *crowdSite) checkLimits(m *crowdMeter) {
 	s.t.Helper()
@@ -154,181 +147,26 @@
 	}
 }
 
-func runCrowd(t *testing.T, l crowdListener, listeners []crowdListener, w crowd) {
-	s := startCrowdSite(t, l.process, listeners, crowdMaxFDs)
+// play lets a crowd connect to a listener of the process, and checks that it serves others before,
+// beside and after the crowd, and stays within the limits of its machine.
+func (s *crowdSite) play(w crowd, l crowdListener) {
+	s.t.Helper()
 	s.checkServes("before the crowd")
-	m := s.meter()
+	m := startCrowdMeter(s.d.cmd.Process.Pid, s.d.ports())
+	if w.begin != nil {
+		w.begin(s, m)
+	}
 	conns := w.run(l.addr(s.d), l.name)
 	m.settle()
-	s.checkServes("beside the crowd")
-	for _, c := range conns {
-		_ = c.Close()
-	}
-	s.checkServes("after the crowd")
-	s.checkLimits(m)
-}
-
-// A process that has no descriptors left goes on: it accepts connections again once there are some,
-// and makes room for them.
-func TestCrowdWithoutDescriptors(t *testing.T) {
-	listeners := crowdListeners()
-	for _, l := range listeners {
-		t.Run(l.name, func(t *testing.T) {
-			s := startCrowdSite(t, l.process, listeners, crowdMaxFDs)
-			s.checkServes("before the crowd")
-			m := s.meter()
-			s.limitDescriptors(uint64(m.openSockets() + crowdSpareFDs))
-			conns := crowd{clients: 8 * crowdSpareFDs, behave: func(*crowdClient) {}}.run(l.addr(s.d), l.name)
-			s.checkServes("without descriptors")
-			s.limitDescriptors(crowdMaxFDs)
-			s.checkServes("with descriptors")
-			for _, c := range conns {
-				_ = c.Close()
-			}
-			s.checkServes("after the crowd")
-			s.checkLimits(m)
-		})
-	}
-}
-
-// Each body may be within its limit, and all together far above what the machine has.
-func TestCrowdOfBodiesWithinTheLimit(t *testing.T) {
-	const clients, maxFDs = 300, 8 * crowdMaxFDs
-	listeners := crowdListeners()
-	for _, l := range listeners {
-		if _, ok := crowdRequests[l.name]; !ok {
-			continue
-		}
-		t.Run(l.name, func(t *testing.T) {
-			s := startCrowdSite(t, l.process, listeners, maxFDs)
-			s.checkServes("before the crowd")
-			m := s.meter()
-			conns := crowd{clients: clients, behave: func(c *crowdClient) {
-				if c.send(fmt.Sprintf("%sContent-Length: %d\r\n\r\n", crowdRequests[l.name], crowdShort)) {
-					c.repeat("a", crowdShort-crowdLine)
-				}
-			}}.run(l.addr(s.d), l.name)
-			m.settle()
-			s.checkServes("beside the crowd")
-			for _, c := range conns {
-				_ = c.Close()
-			}
-			s.checkServes("after the crowd")
-			s.checkLimits(m)
-		})
-	}
-}
-
-// While a request waits for the store, its client may send more than anybody reads. The kernel
-// keeps it in the memory of the process's machine.
-func TestCrowdOfBytesBehindRequestsThatWait(t *testing.T) {
-	s := startCrowdSite(t, "front-0", crowdListeners(), crowdMaxFDs)
-	s.checkServes("before the crowd")
-	m := s.meter()
-	s.store.SetFault(plat.Silent)
-	w := crowd{clients: crowdMaxSockets / 3, behave: func(c *crowdClient) {
-		job := `{"task_spec":"x",` + strings.Repeat(" ", 64<<10) + `"steps":[{"count":1,"cpu":1000,"mem_mb":100,"estimate_ms":100}]}`
-		for i := range 8 {
-			request := strings.Replace(crowdRequests["callers"], "00000000000000c1", fmt.Sprintf("%016x", 0xb000+16*c.number+i), 1)
-			c.send(fmt.Sprintf("%sContent-Length: %d\r\n\r\n%s", request, len(job), job))
-		}
-		c.repeat("a", 4*crowdFar)
-	}}
-	conns := w.run(s.d.addr, "callers")
-	s.store.SetFault(plat.None)
-	for _, c := range conns {
-		_ = c.Close()
-	}
-	s.checkServes("after the crowd")
-	s.checkLimits(m)
-}
-
-// Callers whose requests wait for the store take descriptors too, theirs and those of the calls that
-// are made for them.
-func TestCrowdOfCallersBesideASilentStore(t *testing.T) {
-	listeners := crowdListeners()
-	s := startCrowdSite(t, "front-0", listeners, crowdMaxFDs)
-	s.checkServes("before the crowd")
-	m := s.meter()
-	s.store.SetFault(plat.Silent)
-	w := crowd{clients: 3 * crowdMaxSockets, rounds: 3, behave: func(c *crowdClient) {
-		const job = `{"task_spec":"x","steps":[{"count":1,"cpu":1000,"mem_mb":100,"estimate_ms":100}]}`
-		request := strings.Replace(crowdRequests["callers"], "00000000000000c1", fmt.Sprintf("%016x", 0xc000+c.number), 1)
-		if c.send(fmt.Sprintf("%sContent-Length: %d\r\n\r\n%s", request, len(job), job)) {
-			_, _ = c.awaitAnswer()
-		}
-	}}
-	conns := w.run(s.d.addr, "callers")
-	s.store.SetFault(plat.None)
-	for _, c := range conns {
-		_ = c.Close()
-	}
-	s.checkServes("after the crowd")
-	s.checkLimits(m)
-}
-
-// A process that is told to stop ends, whoever is connected.
-func TestCrowdDoesNotKeepAProcessFromStopping(t *testing.T) {
-	listeners := crowdListeners()
-	for _, l := range listeners {
-		t.Run(l.name, func(t *testing.T) {
-			s := startCrowdSite(t, l.process, listeners, crowdMaxFDs)
-			s.checkServes("before the crowd")
-			conns := crowd{clients: crowdMaxSockets / 2, behave: func(c *crowdClient) {
-				switch c.number % 4 {
-				case 0:
-					c.send(crowdRequests[l.name])
-				case 1:
-					c.repeat(crowdQueries[l.name]+frameOf(link.Frame{}), crowdShort)
-				case 2:
-					c.send(frameHead(crowdShort))
-				}
-			}}.run(l.addr(s.d), l.name)
-			if err := s.d.cmd.Process.Signal(syscall.SIGTERM); err != nil {
-				t.Fatal(err)
-			}
-			ended := make(chan error, 1)
-			go func() { ended <- s.d.cmd.Wait() }()
-			select {
-			case err := <-ended:
-				if err != nil {
-					t.Errorf("the process ended with %v", err)
-				}
-			case <-time.After(crowdAnswerTimeout):
-				t.Errorf("the process has not ended within %s", crowdAnswerTimeout)
-			}
-			for _, c := range conns {
-				_ = c.Close()
-			}
-		})
+	if w.end != nil {
+		w.end(s, m)
 	}
-}
-
-// What callers send stands in some log lines. It doesn't fill the log.
-func TestCrowdOfLongPathsIsLoggedBriefly(t *testing.T) {
-	const maxLog = 1 << 20 // bytes
-	s := startCrowdSite(t, "front-0", crowdListeners(), crowdMaxFDs)
-	s.checkServes("before the crowd")
-	m := s.meter()
-	path := strings.Repeat("p", 12<<10)
-	conns := crowd{clients: crowdMaxSockets / 2, behave: func(c *crowdClient) {
-		for range 20 {
-			if !c.send(fmt.Sprintf("GET /%s HTTP/1.1\r\nHost: %s\r\n\r\n", path, path[:1<<10])) {
-				return
-			}
-			if _, err := c.awaitAnswer(); err != nil {
-				return
-			}
-		}
-	}}.run(s.d.addr, "callers")
+	s.checkServes("beside the crowd")
 	for _, c := range conns {
 		_ = c.Close()
 	}
 	s.checkServes("after the crowd")
 	s.checkLimits(m)
-	if n := len(s.d.out.String()); n > maxLog {
-		t.Errorf("%d bytes were logged, of %d at most", n, maxLog)
-	}
 }
 
 // startSmallSite starts a front and a side on machines like those that the crowds meet.
@@ -378,133 +216,3 @@
 	}
 	return err
 }
-
-// crowdMeter samples what a process takes of its machine.
-type crowdMeter struct {
-	pid     int
-	ports   map[uint64]bool // local ports of the process's listeners
-	memory  int64           // most bytes of the process and its unread bytes
-	unread  int64           // most bytes that were received and not read
-	sockets int
-	done    chan struct{}
-	ended   chan struct{}
-}
-
-func startCrowdMeter(pid int, ports map[uint64]bool) *crowdMeter {
-	// The peak resident size counts from here.
-	_ = os.WriteFile(fmt.Sprintf("/proc/%d/clear_refs", pid), []byte("5"), 0o600)
-	m := &crowdMeter{pid: pid, ports: ports, done: make(chan struct{}), ended: make(chan struct{})}
-	go m.run()
-	return m
-}
-
-func (m *crowdMeter) run() {
-	defer close(m.ended)
-	for {
-		began := time.Now()
-		m.sample()
-		select {
-		case <-m.done:
-			m.sample()
-			return
-		case <-time.After(max(crowdSampleInterval, 2*time.Since(began))): // it leaves processors to the others
-		}
-	}
-}
-
-func (m *crowdMeter) stop() {
-	close(m.done)
-	<-m.ended
-}
-
-// settle waits until the process has done what it does with the bytes that were sent: until it
-// takes hardly any processor time.
-func (m *crowdMeter) settle() {
-	before := m.cpuTicks()
-	for end := time.Now().Add(crowdSettleTimeout); time.Now().Before(end); {
-		time.Sleep(crowdSettleInterval)
-		now := m.cpuTicks()
-		if now-before <= 1 {
-			return
-		}
-		before = now
-	}
-}
-
-// cpuTicks returns the processor time that the process has taken, in hundredths of a second.
-func (m *crowdMeter) cpuTicks() int {
-	raw, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", m.pid))
-	if err != nil {
-		return 0
-	}
-	_, rest, _ := strings.Cut(string(raw), ") ")
-	f := strings.Fields(rest)
-	if len(f) < 13 {
-		return 0
-	}
-	user, _ := strconv.Atoi(f[11])
-	system, _ := strconv.Atoi(f[12])
-	return user + system
-}
-
-func (m *crowdMeter) sample() {
-	unread := m.unreadBytes()
-	m.unread = max(m.unread, unread)
-	m.memory = max(m.memory, m.statusBytes("VmRSS:")+unread, m.statusBytes("VmHWM:"))
-	m.sockets = max(m.sockets, m.openSockets())
-}
-
-// statusBytes returns a size from the status of the process.
-func (m *crowdMeter) statusBytes(field string) int64 {
-	raw, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", m.pid))
-	if err != nil {
-		return 0
-	}
-	_, rest, _ := strings.Cut(string(raw), field)
-	kb, err := strconv.ParseInt(strings.Fields(rest + " 0")[0], 10, 64)
-	if err != nil {
-		return 0
-	}
-	return kb << 10
-}
-
-// unreadBytes returns how many bytes wait in the kernel for the process to read them, also on
-// connections that it has not accepted yet.
-func (m *crowdMeter) unreadBytes() int64 {
-	raw, err := os.ReadFile("/proc/net/tcp")
-	if err != nil {
-		return 0
-	}
-	const stateListen = "0A"
-	var sum int64
-	for _, line := range strings.Split(string(raw), "\n")[1:] {
-		f := strings.Fields(line)
-		if len(f) < 5 || f[3] == stateListen {
-			continue
-		}
-		_, port, _ := strings.Cut(f[1], ":")
-		_, queue, _ := strings.Cut(f[4], ":")
-		if p, err := strconv.ParseUint(port, 16, 16); err != nil || !m.ports[p] {
-			continue
-		}
-		if n, err := strconv.ParseInt(queue, 16, 64); err == nil {
-			sum += n
-		}
-	}
-	return sum
-}
-
-// openSockets returns how many sockets and pipes the process has open.
-func (m *crowdMeter) openSockets() int {
-	links, err := filepath.Glob(fmt.Sprintf("/proc/%d/fd/*", m.pid))
-	if err != nil {
-		return 0
-	}
-	n := 0
-	for _, l := range links {
-		if to, err := os.Readlink(l); err == nil && (strings.HasPrefix(to, "socket:") || strings.HasPrefix(to, "pipe:")) {
-			n++
-		}
-	}
-	return n
-}
