--- a/io/guard/listener.go
+++ b/io/guard/listener.go
@@ -68,7 +68,8 @@
 	}
 	var err error
 	if controlErr := c.Control(func(fd uintptr) {
-		err = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_RCVBUF, l.ReceiveBuffer)
+		// The kernel doubles what is set, for its own use.
+		err = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_RCVBUF, l.ReceiveBuffer/2)
 	}); controlErr != nil {
 		return controlErr
 	}
