review: late starts run again before the first heartbeat of the next life (case 11)

Cause: an executor that starts again under its ID gets a higher fence number only after its first heartbeat was confirmed and reported; until then it carries out late starts of its earlier life.

--- a/review/rig3/cases.go
+++ b/review/rig3/cases.go
@@ -182,7 +182,8 @@
 }
 
 // lateStartBeforeHeartbeat lets an executor leave orders unanswered and carry them out late, and then
-// crash and start again under its ID. Its first heartbeat comes after one interval.
+// crash and start again under its ID. Its first heartbeat comes after one interval, or after FIRST_BEAT.
+// With KILL_PLANNER the planner is killed meanwhile.
 func lateStartBeforeHeartbeat(r *rig, trouble bool) int {
 	const id, tasks = "00000000000f0001", 55
 	r.watch = true
@@ -208,7 +209,16 @@
 		e, _ := home.current()
 		r.say("the executor %s crashes, and is back after 1 s under its id", e.ID)
 		home.end()
-		time.Sleep(time.Second)
+		time.Sleep(800 * time.Millisecond)
+		if os.Getenv("KILL_PLANNER") != "" {
+			planner, _, _ := r.roles()
+			r.say("%s, which plans, is killed and starts again", r.fronts[planner].name)
+			r.fronts[planner].kill()
+			if r.fronts[planner].start() != nil {
+				return failed
+			}
+		}
+		time.Sleep(200 * time.Millisecond)
 		home.delayBeats(firstBeat())
 		if home.begin(e.ID) != nil {
 			return failed
