--- a/cmd/gypsumcrank/front.go
+++ b/cmd/gypsumcrank/front.go
@@ -253,7 +253,11 @@
 		Put: []store.Item{{Key: key, Value: []byte(d.announced), Lease: lease}},
 	})
 	if err != nil || !res.Committed {
-		d.log.Debug("front_not_registered", "held", res.Committed, "error", err)
+		level := slog.LevelDebug
+		if fault.Is(err, fault.Rejected) {
+			level = slog.LevelWarn
+		}
+		d.log.Log(ctx, level, "front_not_registered", "held", res.Committed, "error", err)
 		return 0
 	}
 	return lease
--- a/cmd/gypsumcrank/platform_test.go
+++ b/cmd/gypsumcrank/platform_test.go
@@ -503,8 +503,8 @@
 	return d.run()
 }
 
-// setStore sets the fault of the store, or has it compact its watch history.
-// Argument: none|busy|silent|lost|forget.
+// setStore sets the fault of the store, has it compact its watch history, or sets the length of the longest
+// value that it accepts, 0 for the usual one. Argument: none|busy|silent|lost|forget, or limit BYTES.
 func (s *site) setStore(args []string) error {
 	switch args[0] {
 	case "none":
@@ -517,6 +517,12 @@
 		s.store.SetFault(plat.LostResponse)
 	case "forget":
 		s.store.Compact()
+	case "limit":
+		bytes, err := strconv.Atoi(args[1])
+		if err != nil {
+			return err
+		}
+		s.store.LimitValues(bytes)
 	default:
 		return fmt.Errorf("unknown store fault %q", args[0])
 	}
--- a/core/fault/fault.go
+++ b/core/fault/fault.go
@@ -35,6 +35,8 @@
 	Cancelled        Kind = "cancelled"
 	Unreachable      Kind = "unreachable"
 	Internal         Kind = "internal"
+	// Rejected means that the same call would be refused again, however often it is repeated.
+	Rejected Kind = "rejected"
 )
 
 // Outcome is what is known about whether a request ran.
--- a/core/plan/bench_test.go
+++ b/core/plan/bench_test.go
@@ -23,11 +23,7 @@
 	for e.Write != nil || len(e.Orders) > 0 {
 		orders := e.Orders
 		if w := e.Write; w != nil {
-			revs := map[string]int64{}
-			for _, r := range w.Records {
-				revs[r.ID] = int64(w.Seq)
-			}
-			e = b.p.Update(plan.Instant{Monotonic: b.now, Wall: b.now}, plan.WrittenMsg{Seq: w.Seq, Revs: revs})
+			e = b.p.Update(plan.Instant{Monotonic: b.now, Wall: b.now}, plan.WrittenMsg{Seq: w.Seq, Rev: int64(w.Seq)})
 		} else {
 			e = plan.Effects{}
 		}
--- a/core/plan/first_test.go
+++ b/core/plan/first_test.go
@@ -63,7 +63,8 @@
 func (p *firstFit) end(j *firstJob, s task.State) {
 	j.state = s
 	p.seq++
-	p.out.Write = &plan.Write{Seq: p.seq, Records: []plan.Record{{ID: j.ID, Progress: &task.Progress{State: s}}}}
+	raw, _ := task.Encode(&task.Progress{State: s})
+	p.out.Write = &plan.Write{Seq: p.seq, Records: []plan.Record{{ID: j.ID, Value: raw, Ended: s.Ended()}}}
 	for n, w := range j.at {
 		p.out.Orders = append(p.out.Orders, plan.Order{Kind: plan.OrderStop, Node: w.Node, Incarnation: w.Incarnation, Task: n.String(), Run: j.runs[n], Epoch: p.epoch})
 	}
--- a/core/plan/fleet_test.go
+++ b/core/plan/fleet_test.go
@@ -31,6 +31,7 @@
 	rev        int64
 	storeDelay clock.Millis // how long a write takes
 	storeDown  bool
+	rejects    func(w *plan.Write) string // why the store rejects a write, "" if it takes it
 	pending    []event
 	fails      func(name task.Name, run int, h *host) bool
 	duration   func(j *task.Job, step int, h *host) clock.Millis
@@ -88,6 +89,7 @@
 	f.firstReportDelay = f.orderDelay
 	f.slowdown = func(*host) float64 { return 1 }
 	f.failsAtEnd = func(*run) bool { return false }
+	f.rejects = func(*plan.Write) string { return "" }
 	f.newPlanner = func(epoch int64) planner { return &plan.Planner{Epoch: epoch, Settings: plan.DefaultSettings()} }
 	for range hosts {
 		f.addHost(perRack, resources)
@@ -189,26 +191,49 @@
 		if epoch != f.epoch {
 			return
 		}
+		if reason := f.rejects(w); reason != "" {
+			f.disturb()
+			if planner == f.planner {
+				f.send(plan.RejectedMsg{Seq: w.Seq, Reason: reason})
+			}
+			return
+		}
 		f.rev++
-		revs := map[string]int64{}
 		for _, r := range w.Records {
-			if r.Rev != f.revs[r.ID] {
-				f.t.Fatalf("record %s written at revision %d, is at %d", r.ID, r.Rev, f.revs[r.ID])
-			}
-			f.records[r.ID], f.revs[r.ID], revs[r.ID] = r.Progress, f.rev, f.rev
-			if r.Progress != nil && r.Progress.State == task.Completed {
-				f.checkCompleted(f.jobs[r.ID])
-			}
-			if r.Progress != nil && r.Progress.State.Ended() && f.finishedAt[r.ID] == 0 {
-				f.finishedAt[r.ID] = f.now
-			}
+			f.store(r)
 		}
 		if planner == f.planner {
-			f.send(plan.WrittenMsg{Seq: w.Seq, Revs: revs})
+			f.send(plan.WrittenMsg{Seq: w.Seq, Rev: f.rev})
 		}
 	})
 }
 
+// store stores one record.
+func (f *fleet) store(r plan.Record) {
+	if r.Rev != f.revs[r.ID] {
+		f.t.Fatalf("record %s written at revision %d, is at %d", r.ID, r.Rev, f.revs[r.ID])
+	}
+	f.revs[r.ID] = f.rev
+	if r.Value == nil {
+		f.records[r.ID] = nil
+		return
+	}
+	p, err := task.DecodeProgress(r.Value)
+	if err != nil {
+		f.t.Fatalf("record %s: %v", r.ID, err)
+	}
+	f.records[r.ID] = p
+	if p.State == task.Completed {
+		f.checkCompleted(f.jobs[r.ID])
+	}
+	if p.State.Ended() != r.Ended {
+		f.t.Fatalf("record %s is %s, and handed out as ended=%t", r.ID, p.State, r.Ended)
+	}
+	if p.State.Ended() && f.finishedAt[r.ID] == 0 {
+		f.finishedAt[r.ID] = f.now
+	}
+}
+
 func (f *fleet) schedule(delay clock.Millis, do func()) {
 	f.pending = append(f.pending, event{at: f.now + delay, do: do})
 }
--- a/core/plan/job.go
+++ b/core/plan/job.go
@@ -25,6 +25,9 @@
 	dueOccurrences int // occurrences that have units
 	addedAt        clock.Millis
 	dirty          bool
+	alone          bool // its record is written by itself
+	brief          bool // its record keeps no tasks: it has ended, so none is started again
+	aside          aside
 	followUps      []followUp
 	removing       bool
 	closedWaitRev  int64 // set of closed data centres for which a wait was logged last
@@ -232,10 +235,11 @@
 	p.markDirty(j)
 }
 
+// progress returns what is stored of a job.
 func (j *job) progress() *task.Progress {
 	pr := &task.Progress{State: j.state, Started: j.started, Ended: j.endedAt, Reason: j.reason}
 	for _, u := range j.units {
-		if u.run == 0 && !u.done {
+		if u.run == 0 && !u.done || j.brief {
 			continue
 		}
 		m := task.TaskProgress{
--- a/core/plan/lists_test.go
+++ b/core/plan/lists_test.go
@@ -33,12 +33,12 @@
 	end := update(0, plan.CancelMsg{ID: "a"})
 	later := plan.DefaultSettings().Retention + clock.Second
 	c.Assert(update(later, plan.TickMsg{}), qt.IsNil) // due for removal, the write is in flight
-	removal := update(later, plan.WrittenMsg{Seq: end.Seq, Revs: map[string]int64{"a": 5}})
+	removal := update(later, plan.WrittenMsg{Seq: end.Seq, Rev: 5})
 	c.Assert(removal, qt.IsNotNil)
-	c.Check(removal.Records[0].Progress, qt.IsNil)
+	c.Check(removal.Records[0].Value, qt.IsNil)
 	update(later, plan.JobMsg{Job: oneTask("a", 1)})
 	c.Check(taken, qt.Equals, 1)
-	update(later, plan.WrittenMsg{Seq: removal.Seq, Revs: map[string]int64{"a": 6}})
+	update(later, plan.WrittenMsg{Seq: removal.Seq, Rev: 6})
 	update(later, plan.JobMsg{Job: oneTask("a", 1)}) // an ID that is used again
 	c.Check(taken, qt.Equals, 2)
 }
--- a/core/plan/msg.go
+++ b/core/plan/msg.go
@@ -158,11 +158,16 @@
 	AnswerSeq   int64            `cbor:"8,keyasint"` // position of this answer among all answers of the side
 }
 
-// WrittenMsg reports that a Write is stored, with the new revision of each job's
-// record.
+// WrittenMsg reports that a Write is stored, and at which revision.
 type WrittenMsg struct {
-	Seq  int
-	Revs map[string]int64
+	Seq int
+	Rev int64
+}
+
+// RejectedMsg reports that the store rejects a Write: nothing of it is stored, and it would be rejected again.
+type RejectedMsg struct {
+	Seq    int
+	Reason string
 }
 
 // TickMsg reports that time has passed.
@@ -190,14 +195,15 @@
 type Write struct {
 	Seq     int
 	Records []Record
-	Speeds  []StoredSpeed // of workers; nil if they are not to be stored now
+	Speeds  []byte // encoded speeds of workers; nil if they are not to be stored now
 }
 
-// Record is the progress of one job. Nil progress deletes the job.
+// Record is the progress of one job. A record without a value deletes the job.
 type Record struct {
-	ID       string
-	Rev      int64 // revision that the stored record must have
-	Progress *task.Progress
+	ID    string
+	Rev   int64  // revision that the stored record must have
+	Value []byte // encoded progress
+	Ended bool   // the job has ended
 }
 
 // Effects is what the caller must carry out after an Update.
--- a/core/plan/plan.go
+++ b/core/plan/plan.go
@@ -71,6 +71,9 @@
 	suspects       map[*unit]bool            // tasks that may crash the workers that start them
 	trialsIgnored  bool                      // placement is tried as if there were no suspects
 	dirty          []*job                    // jobs whose record is out of date, the first to be written first
+	aside          []*job                    // jobs whose record is kept out of writes for now
+	lastStoredAt   clock.Millis              // when a write was last known to be stored
+	speedsRejected bool                      // the store has rejected a write with speeds
 	demand         *fair.Ledger              // what the accounts use and wait for
 	demandAt       clock.Millis              // when demand was last updated
 	overShareAt    map[accountClass]clock.Millis
@@ -112,6 +115,8 @@
 		p.applyResult(m)
 	case WrittenMsg:
 		p.applyWritten(m)
+	case RejectedMsg:
+		p.applyRejected(m)
 	case ClosedMsg:
 		p.applyClosed(m)
 	case TickMsg:
@@ -181,6 +186,7 @@
 		p.removeExpired(j)
 	}
 	p.checkGangStarts()
+	p.retryAside()
 	p.endSettling()
 	if p.now.Monotonic-p.lastScheduled >= rescheduleInterval {
 		p.moveOffStalled()
--- a/core/plan/sched.go
+++ b/core/plan/sched.go
@@ -88,7 +88,7 @@
 func (p *Planner) pendingRequests() []*request {
 	var out []*request
 	for _, j := range p.jobs {
-		if j.state.Ended() {
+		if j.state.Ended() || j.unrecorded() {
 			continue
 		}
 		for _, g := range j.gangs {
--- a/core/plan/write.go
+++ b/core/plan/write.go
@@ -1,12 +1,21 @@
 package plan
 
-import "slices"
+import (
+	"encoding/json"
+	"slices"
+
+	"gypsumcrank/core/clock"
+	"gypsumcrank/core/task"
+)
 
 // maxTxnOps limits the operations of one write; the store accepts no more. A
 // write is one transaction that stores the records of some jobs; its operations
 // are its conditions, puts and deletions.
 const maxTxnOps = 32
 
+// baseOps are the operations that are not a job's: the condition on the planner key, and the put of speeds.
+const baseOps = 2
+
 // txnOps returns how many operations a job takes in a write: the condition on
 // its progress record, and the put of that record or the deletions of its
 // progress, cancel and job keys.
@@ -29,16 +38,27 @@
 // inFlightWrite is the write that has been handed out and is not known to be
 // stored yet.
 type inFlightWrite struct {
-	seq       int
-	jobs      []*job
-	removed   []*job // those of jobs whose deletion this write holds
+	seq    int
+	since  clock.Millis
+	jobs   []jobWrite
+	speeds bool // it holds the speeds of workers
+}
+
+// jobWrite is what a write holds of one job.
+type jobWrite struct {
+	job       *job
 	followUps []followUp
+	removal   bool
+	size      int // bytes of its record
 }
 
-// markDirty marks a job's record as out of date.
+// markDirty marks a job's record as out of date. The record of a job that is set aside is written later.
 func (p *Planner) markDirty(j *job) {
-	if !j.dirty {
-		j.dirty = true
+	if j.dirty {
+		return
+	}
+	j.dirty = true
+	if !j.isAside() {
 		p.dirty = append(p.dirty, j)
 	}
 }
@@ -48,23 +68,22 @@
 	if p.inFlight != nil || len(p.dirty) == 0 {
 		return
 	}
-	n, ops := 0, 2 // the condition on the planner key, and the put of speeds
-	for n < len(p.dirty) && ops+p.dirty[n].txnOps() <= maxTxnOps {
-		ops += p.dirty[n].txnOps()
-		n++
-	}
 	p.seq++
-	next := &inFlightWrite{seq: p.seq, jobs: slices.Clone(p.dirty[:n])}
-	write := &Write{Seq: p.seq, Speeds: p.speedsToStore()}
-	for _, j := range next.jobs {
-		r := Record{ID: j.ID, Rev: j.rev}
-		if j.removing {
-			next.removed = append(next.removed, j)
-		} else {
-			r.Progress = j.progress()
+	next := &inFlightWrite{seq: p.seq, since: p.now.Monotonic}
+	write := &Write{Seq: p.seq}
+	if !p.dirty[0].alone {
+		write.Speeds = p.encodeSpeeds()
+		next.speeds = write.Speeds != nil
+	}
+	n, ops := 0, baseOps
+	for ; n < len(p.dirty); n++ {
+		j := p.dirty[n]
+		if ops += j.txnOps(); ops > maxTxnOps || n > 0 && (j.alone || p.dirty[0].alone) {
+			break
 		}
+		r := j.record()
 		write.Records = append(write.Records, r)
-		next.followUps = append(next.followUps, j.followUps...)
+		next.jobs = append(next.jobs, jobWrite{job: j, followUps: j.followUps, removal: j.removing, size: len(r.Value)})
 		j.followUps, j.dirty = nil, false
 	}
 	p.dirty = slices.Delete(p.dirty, 0, n)
@@ -72,28 +91,64 @@
 	p.effects.Write = write
 }
 
+// record returns the record of a job as it has to be stored now.
+func (j *job) record() Record {
+	r := Record{ID: j.ID, Rev: j.rev}
+	if j.removing {
+		return r
+	}
+	// The types that are encoded can't fail to be.
+	r.Value, _ = task.Encode(j.progress())
+	r.Ended = j.state.Ended()
+	return r
+}
+
+// encodeSpeeds returns the speeds of workers if it is time to store them, nil if not.
+func (p *Planner) encodeSpeeds() []byte {
+	if p.speedsRejected {
+		return nil
+	}
+	speeds := p.speedsToStore()
+	if len(speeds) == 0 {
+		return nil
+	}
+	raw, _ := json.Marshal(speeds)
+	return raw
+}
+
 // applyWritten applies the news that a write is stored: it takes over the new
-// revisions, forgets removed jobs, and carries out the actions that waited.
+// revision, forgets removed jobs, and carries out the actions that waited.
 func (p *Planner) applyWritten(m WrittenMsg) {
 	stored := p.inFlight
 	if stored == nil || stored.seq != m.Seq {
 		return
 	}
 	p.inFlight = nil
-	for _, j := range stored.jobs {
-		j.rev = m.Revs[j.ID]
-		p.storeRev = max(p.storeRev, j.rev)
-	}
-	for _, j := range stored.removed {
-		delete(p.jobs, j.ID)
-	}
-	for _, action := range stored.followUps {
-		if action.startUnit != nil {
-			p.orderStart(action.startUnit, action.startRun)
+	p.storeRev, p.lastStoredAt = max(p.storeRev, m.Rev), p.now.Monotonic
+	for _, w := range stored.jobs {
+		if w.removal {
+			delete(p.jobs, w.job.ID)
 		}
-		if action.ackWorker != nil {
-			action.ackWorker.recordEnd(action.ackNumber)
-			p.grant(action.ackWorker)
+		w.job.rev = m.Rev
+		p.recordAccepted(w.job)
+	}
+	for _, w := range stored.jobs {
+		for _, action := range w.followUps {
+			if action.startUnit != nil {
+				p.orderStart(action.startUnit, action.startRun)
+			}
+			if action.ackWorker != nil {
+				action.ackWorker.recordEnd(action.ackNumber)
+				p.grant(action.ackWorker)
+			}
 		}
 	}
 }
+
+// WritePending returns for how long the write in flight has waited to be stored, 0 if there is none.
+func (p *Planner) WritePending() clock.Millis {
+	if p.inFlight == nil {
+		return 0
+	}
+	return p.now.Monotonic - p.inFlight.since
+}
--- a/internal/standin/plat/store.go
+++ b/internal/standin/plat/store.go
@@ -51,11 +51,15 @@
 	leases     map[int64]*lease
 	changed    chan struct{}
 	fault      Fault
+	valueBytes int // length of the longest value that is accepted
 }
 
+// maxValueBytes is value_bytes of the users' sites.
+const maxValueBytes = 1 << 20
+
 // NewStore returns an empty store.
 func NewStore() *Store {
-	return &Store{rev: 1, items: make(map[string]item), leases: make(map[int64]*lease), changed: make(chan struct{})}
+	return &Store{rev: 1, valueBytes: maxValueBytes, items: make(map[string]item), leases: make(map[int64]*lease), changed: make(chan struct{})}
 }
 
 // SetFault sets the fault that the store injects from now on.
@@ -65,6 +69,16 @@
 	s.fault = f
 }
 
+// LimitValues sets the length of the longest value that is accepted from now on; 0 sets that of the users'
+// sites.
+func (s *Store) LimitValues(bytes int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.valueBytes = bytes; bytes == 0 {
+		s.valueBytes = maxValueBytes
+	}
+}
+
 // Compact drops the history, so that a watch from an older revision fails.
 func (s *Store) Compact() {
 	s.mu.Lock()
@@ -280,6 +294,10 @@
 		}
 	}
 	for _, it := range in.Writes {
+		if len(it.Value) > s.valueBytes {
+			writeJSON(w, 400, map[string]string{"error": "value too long"})
+			return
+		}
 		if it.Lease != 0 && s.leases[it.Lease] == nil {
 			w.WriteHeader(http.StatusNotFound)
 			return
--- a/io/front/front_test.go
+++ b/io/front/front_test.go
@@ -46,6 +46,19 @@
 
 var acme = route.Admission{Queue: queue, Account: "acme"}
 
+// Guards against a caller who is told after a second that nobody knows whether a job was stored that the store has
+// rejected.
+func TestARejectedJobHasNotRun(t *testing.T) {
+	c := qt.New(t)
+	f, s := newFront(t)
+	s.LimitValues(10)
+	began := time.Now()
+	err := f.Submit(context.Background(), queue, "acme", job("1"))
+	c.Check(fault.Is(err, fault.Rejected), qt.IsTrue)
+	c.Check(fault.Of(err).Outcome, qt.Equals, fault.NotRun)
+	c.Check(time.Since(began) < time.Second, qt.IsTrue)
+}
+
 func TestSubmitStoresJobOnce(t *testing.T) {
 	c, ctx := qt.New(t), context.Background()
 	f, _ := newFront(t)
--- a/io/relay/relay.go
+++ b/io/relay/relay.go
@@ -237,7 +237,7 @@
 		return r.callPeersHedged(ctx, c)
 	}
 	reply, err := r.callPeers(ctx, c)
-	if err != nil && fault.Of(err).Outcome == fault.NotRun && ctx.Err() == nil {
+	if err != nil && !fault.Is(err, fault.Rejected) && fault.Of(err).Outcome == fault.NotRun && ctx.Err() == nil {
 		return r.retryDirect(ctx, c)
 	}
 	return reply, err
--- a/io/relay/relay_test.go
+++ b/io/relay/relay_test.go
@@ -144,6 +144,23 @@
 	qt.Assert(t, fault.Of(err).Outcome, qt.Equals, fault.Unknown)
 }
 
+// Guards against a rejected write that becomes one without an answer behind a peer.
+func TestARejectionIsTheSameBehindAPeer(t *testing.T) {
+	c := qt.New(t)
+	refusing, serving := plat.NewStore(), plat.NewStore()
+	refusing.SetFault(plat.Busy)
+	serving.LimitValues(10)
+	r := newRelay(t, newStoreClient(t, refusing), servePeer(t, newStoreClient(t, serving)))
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	txn := put("a/x")
+	txn.Put[0].Value = make([]byte, 11)
+	_, err := store.CommitWithRetry(ctx, r, txn, 0)
+	c.Check(fault.Is(err, fault.Rejected), qt.IsTrue)
+	c.Check(fault.Of(err).Outcome, qt.Equals, fault.NotRun)
+	c.Check(ctx.Err(), qt.IsNil)
+}
+
 // responds reports whether the store responds within 100 ms.
 func responds(r *relay.Relay) bool {
 	ctx, cancel := context.WithTimeout(context.Background(), 100*time.Millisecond)
--- a/io/steer/steer.go
+++ b/io/steer/steer.go
@@ -40,6 +40,8 @@
 	// campaignInterval is how often a candidate checks whether the planner key
 	// is free.
 	campaignInterval = 50 * time.Millisecond
+	// rejectedRetry is how long a candidate waits after the store has rejected its lease.
+	rejectedRetry = time.Second
 	// campaignTimeout bounds one attempt to become the planner.
 	campaignTimeout = 1500 * clock.Millisecond
 	// tickInterval is how often the planner gets a TickMsg.
@@ -161,7 +163,7 @@
 	ttl := max(leaseTTL, s.LeaseMin)
 	lease, err := s.Store.Grant(campaignCtx, ttl)
 	if err != nil {
-		s.Log.Debug("election_no_lease", "error", err)
+		s.logNoLease(ctx, err)
 		return
 	}
 	value, err := json.Marshal(plannerValue{Node: s.Node, Addr: s.Announce, Nonce: rand.Uint64()})
@@ -189,6 +191,20 @@
 	s.revokeLease(lease)
 }
 
+// logNoLease logs why a candidate got no lease. One that the store rejects is logged as a warning, and not tried
+// again at once.
+func (s *Coordinator) logNoLease(ctx context.Context, err error) {
+	if !fault.Is(err, fault.Rejected) {
+		s.Log.Debug("election_no_lease", "error", err)
+		return
+	}
+	s.Log.Warn("election_no_lease", "error", err)
+	select {
+	case <-ctx.Done():
+	case <-time.After(rejectedRetry):
+	}
+}
+
 func (s *Coordinator) revokeLease(lease int64) {
 	ctx, cancel := context.WithTimeout(context.Background(), renewTimeout.Duration())
 	defer cancel()
--- a/io/steer/term.go
+++ b/io/steer/term.go
@@ -14,7 +14,6 @@
 	"gypsumcrank/core/kern"
 	"gypsumcrank/core/plan"
 	"gypsumcrank/core/route"
-	"gypsumcrank/core/task"
 	"gypsumcrank/io/link"
 	"gypsumcrank/io/meter"
 	"gypsumcrank/io/store"
@@ -247,6 +246,8 @@
 	}
 	meter.Gauge("workers_quarantined", int64(t.planner.Quarantined()))
 	meter.Gauge("headroom_accelerators", int64(t.planner.Headroom()))
+	meter.Gauge("jobs_unrecorded", int64(t.planner.Unrecorded()))
+	meter.Gauge("progress_write_pending_ms", int64(t.planner.WritePending()))
 	meter.ClearGauge("tasks")
 	for key, n := range t.planner.TaskCounts() {
 		meter.Gauge("tasks", int64(n), key.Account, "priority_"+strconv.Itoa(key.Priority), key.Phase)
@@ -344,49 +345,3 @@
 	}
 	t.coord.Log.Info(ev.Kind, attrs...)
 }
-
-// write stores progress records on the condition that the planner key is still
-// this term's.
-func (t *term) write(w *plan.Write) kern.Cmd {
-	return func(ctx context.Context) kern.Msg {
-		txn := store.Txn{If: []store.Condition{{Key: store.PlannerKey, Rev: t.epoch}}}
-		for _, r := range w.Records {
-			key := store.ProgressKey(r.ID)
-			txn.If = append(txn.If, store.Condition{Key: key, Rev: r.Rev})
-			if r.Progress == nil {
-				txn.Delete = append(txn.Delete, key, store.CancelKey(r.ID), store.JobKey(r.ID))
-				continue
-			}
-			raw, err := task.Encode(r.Progress)
-			if err != nil {
-				return lostMsg{err.Error()}
-			}
-			txn.Put = append(txn.Put, store.Item{Key: key, Value: raw})
-		}
-		if len(w.Speeds) > 0 {
-			raw, err := json.Marshal(w.Speeds)
-			if err != nil {
-				return lostMsg{err.Error()}
-			}
-			txn.Put = append(txn.Put, store.Item{Key: store.SpeedsKey, Value: raw})
-		}
-		res, err := store.CommitWithRetry(ctx, t.coord.Store, txn, 0)
-		if ctx.Err() != nil {
-			return nil
-		}
-		if err != nil || !res.Committed {
-			t.coord.Log.Warn("progress_not_written", "epoch", t.epoch, "records", len(w.Records), "error", err)
-			return lostMsg{"a progress write failed or its conditions did not hold"}
-		}
-		revs := make(map[string]int64, len(w.Records))
-		ended := false
-		for _, r := range w.Records {
-			revs[r.ID] = res.Rev
-			ended = ended || r.Progress != nil && r.Progress.State.Ended()
-		}
-		if ended {
-			t.coord.OnJobEnd(res.Rev)
-		}
-		return plan.WrittenMsg{Seq: w.Seq, Revs: revs}
-	}
-}
--- a/io/steer/term_test.go
+++ b/io/steer/term_test.go
@@ -69,7 +69,7 @@
 	tm, side, report := termOnSide(t, clk)
 	c.Assert(len(tm.Update(oneTaskJob("a"))), qt.Equals, 1) // the write of the start's record
 	clk.Advance(2000)
-	tm.Update(plan.WrittenMsg{Seq: 1, Revs: map[string]int64{"a": 9}})
+	tm.Update(plan.WrittenMsg{Seq: 1, Rev: 9})
 	c.Check(len(tm.Update(oneTaskJob("b"))), qt.Equals, 0)
 	c.Check(received(side), qt.Equals, 0)
 	c.Check(len(tm.Update(renewedMsg{clk.Boottime() + 1500})), qt.Equals, 1) // job b is placed
--- a/io/store/txn.go
+++ b/io/store/txn.go
@@ -68,15 +68,32 @@
 	maxBackoff     = 320 * time.Millisecond
 )
 
-// CommitWithRetry commits a transaction and finds out whether it was applied,
-// even if responses are lost. The conditions ensure that a retry can't apply it
-// twice, so every written key must be under one. It retries until ctx ends, or
-// until the store has refused maxRefusals attempts in a row without effect (0:
-// no limit). The error's outcome is not_run only if it is certain that nothing
-// was or will be written.
+// Writer commits transactions and finds out whether they were applied, even if
+// responses are lost. Set the fields before the first Commit.
+type Writer struct {
+	Store TxnStore
+	// MaxRefusals is how many attempts in a row the store may refuse without effect
+	// before Commit fails; 0 sets no limit.
+	MaxRefusals int
+	// OnFailure, if not nil, is called after each failed attempt with their number.
+	OnFailure func(attempts int, err error)
+}
+
+// CommitWithRetry commits a transaction with a Writer.
 func CommitWithRetry(ctx context.Context, s TxnStore, t Txn, maxRefusals int) (TxnResult, error) {
+	w := Writer{Store: s, MaxRefusals: maxRefusals}
+	return w.Commit(ctx, t)
+}
+
+// Commit commits a transaction. The conditions ensure that a retry can't apply it
+// twice, so every written key must be under one. It retries until ctx ends, the
+// store has refused MaxRefusals attempts in a row, or it rejects the transaction:
+// then the error's kind is fault.Rejected. The error's outcome is not_run only if
+// it is certain that nothing was or will be written.
+func (w *Writer) Commit(ctx context.Context, t Txn) (TxnResult, error) {
+	s := w.Store
 	inDoubt, refusals, backoff := false, 0, initialBackoff
-	for {
+	for attempts := 1; ; attempts++ {
 		res, err := s.Commit(ctx, t)
 		if err == nil && (res.Committed || !inDoubt) {
 			return res, nil
@@ -91,7 +108,10 @@
 		} else {
 			inDoubt, refusals = true, 0
 		}
-		if ctx.Err() != nil || (!inDoubt && maxRefusals > 0 && refusals >= maxRefusals) {
+		if w.OnFailure != nil {
+			w.OnFailure(attempts, err)
+		}
+		if ctx.Err() != nil || fault.Is(err, fault.Rejected) || (!inDoubt && w.MaxRefusals > 0 && refusals >= w.MaxRefusals) {
 			return TxnResult{}, withOutcome(err, inDoubt)
 		}
 		select {
