--- a/cmd/gypsumcrank/front.go
+++ b/cmd/gypsumcrank/front.go
@@ -4,6 +4,7 @@
 	"context"
 	"log/slog"
 	"slices"
+	"strconv"
 	"strings"
 	"sync/atomic"
 	"time"
@@ -241,16 +242,20 @@
 	if d.jobMirror.Rev() == 0 {
 		return 0
 	}
-	key := store.FrontKey(d.settings.Node)
+	key, format := store.FrontKey(d.settings.Node), store.FormatKey(d.settings.Node)
 	lease, err := d.store.Grant(ctx, registerLease)
 	if err != nil {
 		d.log.Debug("front_not_registered", "error", err)
 		return 0
 	}
 	old, _ := d.jobMirror.Get(key)
+	oldFormat, _ := d.jobMirror.Get(format)
 	res, err := d.store.Commit(ctx, store.Txn{
-		If:  []store.Condition{{Key: key, Rev: old.Rev}},
-		Put: []store.Item{{Key: key, Value: []byte(d.announced), Lease: lease}},
+		If: []store.Condition{{Key: key, Rev: old.Rev}, {Key: format, Rev: oldFormat.Rev}},
+		Put: []store.Item{
+			{Key: key, Value: []byte(d.announced), Lease: lease},
+			{Key: format, Value: strconv.AppendInt(nil, store.RecordFormat, 10), Lease: lease},
+		},
 	})
 	if err != nil || !res.Committed {
 		level := slog.LevelDebug
--- a/core/plan/aside.go
+++ b/core/plan/aside.go
@@ -35,7 +35,7 @@
 func (j *job) unrecorded() bool { return j.aside.rejections > 0 }
 
 // applyRejected applies the news that the store rejects a write. Nothing of it is stored. If it held the records
-// of several jobs, each is written by itself from now on; otherwise the job is set aside.
+// of several jobs, those of each are written by themselves from now on; otherwise the job is set aside.
 func (p *Planner) applyRejected(m RejectedMsg) {
 	w := p.inFlight
 	if w == nil || w.seq != m.Seq {
@@ -46,40 +46,35 @@
 		p.speedsRejected = true
 		p.emit(Event{Kind: "speeds_rejected", Detail: m.Reason})
 	}
-	alone := len(w.jobs) == 1 && !w.speeds
-	var queued []*job
+	if len(w.jobs) == 1 && !w.speeds {
+		p.putAside(w.jobs[0], m.Reason)
+		return
+	}
 	for _, held := range w.jobs {
 		j := held.job
-		j.followUps = append(held.followUps, j.followUps...)
-		if alone {
-			p.putAside(j, held.size, m.Reason)
-			continue
-		}
-		j.alone = true
-		if !j.dirty {
-			j.dirty = true
-			queued = append(queued, j)
-		}
+		j.pending, j.alone = append(held.records, j.pending...), true
+		p.enqueue(j)
 	}
-	p.dirty = append(queued, p.dirty...)
 }
 
-// putAside keeps a job's record out of writes for a while. Its starts that wait for the record are abandoned,
+// putAside keeps a job's records out of writes for a while. Its starts that wait for them are abandoned,
 // so that others can have the resources.
-func (p *Planner) putAside(j *job, size int, reason string) {
+func (p *Planner) putAside(rejected jobWrite, reason string) {
+	j := rejected.job
 	if !j.unrecorded() {
 		j.aside.since = p.now.Monotonic
 	}
 	j.aside.rejections++
 	lasted := p.now.Monotonic - j.aside.since
-	p.emit(Event{Kind: "record_rejected", Job: j.ID, Wait: lasted, Detail: fmt.Sprintf("bytes=%d tasks=%d rejections=%d state=%s reason: %s", size, len(j.units), j.aside.rejections, j.state, reason)})
-	if j.dirty { // it has changed meanwhile
-		p.dirty = slices.DeleteFunc(p.dirty, func(o *job) bool { return o == j })
+	p.emit(Event{Kind: "record_rejected", Job: j.ID, Wait: lasted, Detail: fmt.Sprintf("bytes=%d records=%d tasks=%d rejections=%d state=%s reason: %s", rejected.size(), len(rejected.records), len(j.units), j.aside.rejections, j.state, reason)})
+	if j.queued {
+		p.writeQueue = slices.DeleteFunc(p.writeQueue, func(o *job) bool { return o == j })
+		j.queued = false
 	}
-	j.dirty, j.alone, j.aside.until = true, true, p.now.Monotonic+asideRetry
+	j.alone, j.aside.until = true, p.now.Monotonic+asideRetry
 	p.aside = append(p.aside, j)
-	waiting := j.followUps
-	j.followUps = nil
+	waiting := append(j.awaiting, j.followUps...)
+	j.pending, j.awaiting, j.followUps = nil, nil, nil
 	for _, action := range waiting {
 		if u := action.startUnit; u == nil {
 			j.followUps = append(j.followUps, action)
@@ -91,6 +86,7 @@
 		p.endJob(j, task.Failed, "the store rejects the record of its progress: "+reason)
 	}
 	j.brief = j.state.Ended()
+	j.dirty = true
 }
 
 // retryAside queues the records of jobs that were set aside for long enough.
@@ -100,7 +96,7 @@
 			return false
 		}
 		j.aside.until = 0
-		p.dirty = append(p.dirty, j)
+		p.enqueue(j)
 		return true
 	})
 }
--- a/core/plan/export_test.go
+++ b/core/plan/export_test.go
@@ -15,3 +15,6 @@
 	h.recordFailure(now, job, startedAt)
 }
 func (h *health) Quarantined(now clock.Millis) bool { return h.quarantined(now) }
+
+// MaxTxnOps is the limit of the operations of a write.
+const MaxTxnOps = maxTxnOps
--- a/core/plan/fleet_test.go
+++ b/core/plan/fleet_test.go
@@ -26,8 +26,10 @@
 	hosts      []*host
 	jobs       map[string]*task.Job
 	cancels    map[string]bool
-	records    map[string]*task.Progress
+	records    map[string]*task.Progress // without the tasks of parts
 	revs       map[string]int64
+	parts      map[string]map[int]storedPart
+	noParts    bool // a front that can't read parts may become the planner
 	rev        int64
 	storeDelay clock.Millis // how long a write takes
 	storeDown  bool
@@ -80,7 +82,7 @@
 func newFleet(t *testing.T, hosts, perRack int, resources task.Resources) *fleet {
 	f := &fleet{
 		t: t, now: 1_000_000, storeDelay: 8, jobs: map[string]*task.Job{}, cancels: map[string]bool{},
-		records: map[string]*task.Progress{}, revs: map[string]int64{}, completed: map[string]bool{}, acknowledged: map[string]bool{}, finishedAt: map[string]clock.Millis{}, standingSince: map[string]clock.Millis{}, checkpoints: map[string]bool{},
+		records: map[string]*task.Progress{}, revs: map[string]int64{}, parts: map[string]map[int]storedPart{}, completed: map[string]bool{}, acknowledged: map[string]bool{}, finishedAt: map[string]clock.Millis{}, standingSince: map[string]clock.Millis{}, checkpoints: map[string]bool{},
 		startedAgain: map[listedEnd]bool{}, crashes: map[string]int{}, startsAfter: map[string]int{}, lostBeside: map[string]int{}, closedAt: map[string]clock.Millis{}, events: map[string]int{},
 	}
 	f.config = (&route.Config{Version: 1, Accounts: map[string]route.Account{}}).Prepare()
@@ -112,6 +114,7 @@
 	f.disturb()
 	f.epoch = f.rev
 	f.planner = f.newPlanner(f.epoch)
+	f.allowParts()
 	f.sendClosed()
 	f.send(plan.ConfigMsg{Config: f.config})
 	for _, id := range f.ids() {
@@ -135,13 +138,45 @@
 
 func (f *fleet) jobMsg(id string) plan.JobMsg {
 	m := plan.JobMsg{Job: f.jobs[id], Rev: f.revs[id], Cancelled: f.cancels[id]}
-	if p := f.records[id]; p != nil {
-		raw, _ := task.Encode(p)
-		m.Progress, _ = task.DecodeProgress(raw)
+	m.PartRevs = make(map[int]int64)
+	for n, part := range f.parts[id] {
+		m.PartRevs[n] = part.rev
 	}
+	m.Progress = f.storedProgress(id)
 	return m
 }
 
+// allowParts tells the planner whether it may store parts.
+func (f *fleet) allowParts() {
+	if p, ours := f.planner.(*plan.Planner); ours {
+		p.AllowParts(!f.noParts)
+	}
+}
+
+// storedProgress returns what is stored of a job, nil if nothing is.
+func (f *fleet) storedProgress(id string) *task.Progress {
+	p := f.records[id]
+	if p == nil {
+		return nil
+	}
+	raw, _ := task.Encode(p)
+	p, err := task.DecodeProgress(raw)
+	if err != nil {
+		f.t.Fatalf("record %s: %v", id, err)
+	}
+	parts := make(map[int][]task.TaskProgress)
+	for n, part := range f.parts[id] {
+		parts[n] = part.tasks
+	}
+	return p.Join(parts)
+}
+
+// storedPart is one part of a job's progress.
+type storedPart struct {
+	rev   int64
+	tasks []task.TaskProgress
+}
+
 func (f *fleet) connect(h *host) {
 	f.send(h.baseReport())
 	f.send(plan.LinkMsg{Node: h.node, Up: true})
@@ -210,6 +245,13 @@
 
 // store stores one record.
 func (f *fleet) store(r plan.Record) {
+	if len(r.Value) > task.MaxRecord {
+		f.t.Fatalf("record %s part %d has %d bytes", r.ID, r.Part, len(r.Value))
+	}
+	if r.Part > 0 {
+		f.storePart(r)
+		return
+	}
 	if r.Rev != f.revs[r.ID] {
 		f.t.Fatalf("record %s written at revision %d, is at %d", r.ID, r.Rev, f.revs[r.ID])
 	}
@@ -234,6 +276,27 @@
 	}
 }
 
+// storePart stores one part of a job's progress.
+func (f *fleet) storePart(r plan.Record) {
+	parts := f.parts[r.ID]
+	if parts == nil {
+		parts = make(map[int]storedPart)
+		f.parts[r.ID] = parts
+	}
+	if r.Rev != parts[r.Part].rev {
+		f.t.Fatalf("part %d of record %s written at revision %d, is at %d", r.Part, r.ID, r.Rev, parts[r.Part].rev)
+	}
+	if r.Value == nil {
+		delete(parts, r.Part)
+		return
+	}
+	tasks, err := task.DecodePart(r.Value)
+	if err != nil {
+		f.t.Fatalf("part %d of record %s: %v", r.Part, r.ID, err)
+	}
+	parts[r.Part] = storedPart{f.rev, tasks}
+}
+
 func (f *fleet) schedule(delay clock.Millis, do func()) {
 	f.pending = append(f.pending, event{at: f.now + delay, do: do})
 }
--- a/core/plan/job.go
+++ b/core/plan/job.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"strings"
 
 	"gypsumcrank/core/clock"
@@ -24,11 +25,17 @@
 	gangs          []*gang
 	dueOccurrences int // occurrences that have units
 	addedAt        clock.Millis
-	dirty          bool
-	alone          bool // its record is written by itself
+	dirty          bool // what is stored is out of date
+	queued         bool // its records are to be written
+	alone          bool // its records are written by themselves
 	brief          bool // its record keeps no tasks: it has ended, so none is started again
 	aside          aside
-	followUps      []followUp
+	parts          []storedPart    // of a large job
+	inParts        bool            // the parts hold the stored progress of its tasks
+	ownValue       []byte          // its own record as it is stored
+	pending        []pendingRecord // records of one moment that are not in a write yet, in their order
+	awaiting       []followUp      // wait until all records of that moment are stored
+	followUps      []followUp      // wait until the records of a later moment are stored
 	removing       bool
 	closedWaitRev  int64 // set of closed data centres for which a wait was logged last
 }
@@ -68,6 +75,7 @@
 		j.state, j.started, j.endedAt, j.reason = m.Progress.State, m.Progress.Started, m.Progress.Ended, m.Progress.Reason
 		p.restore(j, m.Progress.Tasks)
 	}
+	j.restoreParts(m)
 	if j.state.Ended() {
 		return
 	}
@@ -138,6 +146,14 @@
 			u.assign(w, inDoubt)
 		}
 	}
+	// The members of a gang may stand in several parts, of which only some were stored.
+	for _, g := range j.gangs {
+		if slices.ContainsFunc(g.members, func(m *unit) bool { return m.done }) {
+			for _, m := range g.members {
+				m.done = true
+			}
+		}
+	}
 }
 
 // addDueOccurrences creates the tasks of occurrences that are due.
@@ -164,7 +180,7 @@
 		}
 		for i := range step.Count {
 			name := task.Name{Job: j.ID, Occurrence: k, Step: s, Index: i}
-			u := &unit{job: j, step: step, gang: g, name: name, fullName: name.String(), readyAt: p.now.Monotonic}
+			u := &unit{job: j, step: step, gang: g, name: name, fullName: name.String(), position: len(j.units), readyAt: p.now.Monotonic}
 			j.units = append(j.units, u)
 			j.index[u.name] = u
 			if g != nil {
@@ -223,7 +239,7 @@
 // removeExpired removes a job that ended longer than Retention ago and has no
 // run on any worker.
 func (p *Planner) removeExpired(j *job) {
-	if !j.state.Ended() || j.removing || j.dirty || p.now.Wall-j.endedAt < p.Settings.Retention {
+	if !j.state.Ended() || j.removing || j.dirty || len(j.pending) > 0 || p.now.Wall-j.endedAt < p.Settings.Retention {
 		return
 	}
 	for _, u := range j.units {
@@ -237,14 +253,17 @@
 
 // progress returns what is stored of a job.
 func (j *job) progress() *task.Progress {
-	pr := &task.Progress{State: j.state, Started: j.started, Ended: j.endedAt, Reason: j.reason}
+	pr := &task.Progress{State: j.state, Started: j.started, Ended: j.endedAt, Reason: task.ClipReason(j.reason)}
 	for _, u := range j.units {
 		if u.run == 0 && !u.done || j.brief {
 			continue
 		}
 		m := task.TaskProgress{
 			Occurrence: u.name.Occurrence, Step: u.name.Step, Index: u.name.Index,
-			Run: u.run, Failures: u.failures, AppliedRun: u.endedRun, Checkpoint: u.checkpoint, Done: u.done, Crashes: u.crashes,
+			Run: u.run, Failures: u.failures, AppliedRun: u.endedRun, Done: u.done,
+		}
+		if !u.done { // it may be started again
+			m.Checkpoint, m.Crashes = u.checkpoint, u.crashes
 		}
 		if u.gang != nil {
 			m.FailedRun = u.gang.lastFailedRun
--- a/core/plan/lists.go
+++ b/core/plan/lists.go
@@ -131,8 +131,12 @@
 	return j
 }
 
-// saveCheckpoint sets the newest checkpoint, which all members of a gang share.
+// saveCheckpoint sets the newest checkpoint, which all members of a gang share. One that is too long to be kept
+// is left out by sides, but for those of builds before that.
 func (p *Planner) saveCheckpoint(u *unit, value string) {
+	if len(value) > task.MaxCheckpoint {
+		return
+	}
 	if u.gang == nil {
 		u.checkpoint = value
 		return
--- a/core/plan/msg.go
+++ b/core/plan/msg.go
@@ -23,6 +23,9 @@
 	Progress  *task.Progress
 	Rev       int64 // revision of the progress record, 0 if there is none
 	Cancelled bool
+	// PartRevs are the revisions of the parts of its progress that are stored, by their numbers. Progress has
+	// their tasks if it is in parts; otherwise they are left from an earlier form, and don't count.
+	PartRevs map[int]int64
 }
 
 // CancelMsg reports that the cancellation of a job is stored.
@@ -198,12 +201,14 @@
 	Speeds  []byte // encoded speeds of workers; nil if they are not to be stored now
 }
 
-// Record is the progress of one job. A record without a value deletes the job.
+// Record is the progress of one job, or a part of it. A part without a value is deleted, and a job whose own
+// record has none.
 type Record struct {
 	ID    string
+	Part  int    // number of the part, 0 for the job's own record
 	Rev   int64  // revision that the stored record must have
-	Value []byte // encoded progress
-	Ended bool   // the job has ended
+	Value []byte // encoded
+	Ended bool   // of the job's own record: the job has ended
 }
 
 // Effects is what the caller must carry out after an Update.
--- a/core/plan/plan.go
+++ b/core/plan/plan.go
@@ -70,8 +70,9 @@
 	awaited        map[*unit]bool            // tasks whose end a reservation relies on
 	suspects       map[*unit]bool            // tasks that may crash the workers that start them
 	trialsIgnored  bool                      // placement is tried as if there were no suspects
-	dirty          []*job                    // jobs whose record is out of date, the first to be written first
-	aside          []*job                    // jobs whose record is kept out of writes for now
+	writeQueue     []*job                    // jobs whose records are to be written, the first ones first
+	aside          []*job                    // jobs whose records are kept out of writes for now
+	partsAllowed   bool                      // the progress of large jobs may be stored in parts
 	lastStoredAt   clock.Millis              // when a write was last known to be stored
 	speedsRejected bool                      // the store has rejected a write with speeds
 	demand         *fair.Ledger              // what the accounts use and wait for
--- a/core/plan/speed.go
+++ b/core/plan/speed.go
@@ -7,6 +7,7 @@
 
 	"gypsumcrank/core/clock"
 	"gypsumcrank/core/speed"
+	"gypsumcrank/core/task"
 )
 
 const (
@@ -302,8 +303,10 @@
 const (
 	// speedsInterval is how often speeds are stored at most.
 	speedsInterval = 8 * clock.Second
-	// maxStoredSpeeds bounds the speeds that are stored.
-	maxStoredSpeeds = 1000
+	// maxStoredSpeeds bounds the speeds that are stored, in bytes.
+	maxStoredSpeeds = 64 << 10
+	// maxSpeedNumbers is what a stored speed takes besides its names, in bytes.
+	maxSpeedNumbers = 100
 )
 
 // speedsToStore returns the speeds of all workers of which something is known, if
@@ -315,9 +318,12 @@
 	}
 	p.storedAt = p.now.Monotonic
 	var out []StoredSpeed
+	space := maxStoredSpeeds
 	for _, w := range p.sortedWorkers() {
-		if permille, weight := p.speedFor(w); weight > 0 && len(out) < maxStoredSpeeds {
+		size := maxSpeedNumbers + len(w.node) + len(w.kind)
+		if permille, weight := p.speedFor(w); weight > 0 && task.NameFits(w.kind) && size <= space {
 			out = append(out, StoredSpeed{w.node, w.kind, permille, weight})
+			space -= size
 		}
 	}
 	return out
--- a/core/plan/unit.go
+++ b/core/plan/unit.go
@@ -29,6 +29,7 @@
 	gang     *gang // nil if the task is not in one
 	name     task.Name
 	fullName string       // name as a string
+	position int          // among all tasks of the job
 	readyAt  clock.Millis // since when it could have been placed
 
 	run        int     // number of the current or last run
--- a/core/plan/worker.go
+++ b/core/plan/worker.go
@@ -1,6 +1,7 @@
 package plan
 
 import (
+	"fmt"
 	"maps"
 	"sort"
 
@@ -133,6 +134,10 @@
 		p.effects.DeposedBy = m.Epoch
 		return
 	}
+	if !task.NameFits(m.Node) || !task.NameFits(m.Incarnation.ID) {
+		p.emit(Event{Kind: "report_refused", Detail: fmt.Sprintf("a name is too long: node=%.64q endpoint=%.64q", m.Node, m.Incarnation.ID)})
+		return
+	}
 	w := p.resolveWorker(m)
 	if w.dead || w.left && !m.Gone {
 		return
--- a/core/plan/write.go
+++ b/core/plan/write.go
@@ -2,29 +2,20 @@
 
 import (
 	"encoding/json"
-	"slices"
 
 	"gypsumcrank/core/clock"
-	"gypsumcrank/core/task"
 )
 
-// maxTxnOps limits the operations of one write; the store accepts no more. A
-// write is one transaction that stores the records of some jobs; its operations
-// are its conditions, puts and deletions.
-const maxTxnOps = 32
-
-// baseOps are the operations that are not a job's: the condition on the planner key, and the put of speeds.
-const baseOps = 2
-
-// txnOps returns how many operations a job takes in a write: the condition on
-// its progress record, and the put of that record or the deletions of its
-// progress, cancel and job keys.
-func (j *job) txnOps() int {
-	if j.removing {
-		return 4
-	}
-	return 2
-}
+const (
+	// maxTxnOps limits the operations of one write; the store accepts no more. A
+	// write is one transaction that stores records of some jobs; its operations
+	// are its conditions, puts and deletions.
+	maxTxnOps = 32
+	// baseOps are the operations that are not a job's: the condition on the planner key, and the put of speeds.
+	baseOps = 2
+	// maxJobRecords limits the records of one job in a write, so that a large job leaves space for others.
+	maxJobRecords = 6
+)
 
 // followUp is an action that must wait until a record is stored. Either
 // startUnit or ackWorker is set.
@@ -46,61 +37,97 @@
 
 // jobWrite is what a write holds of one job.
 type jobWrite struct {
-	job       *job
-	followUps []followUp
-	removal   bool
-	size      int // bytes of its record
+	job     *job
+	records []pendingRecord
 }
 
-// markDirty marks a job's record as out of date. The record of a job that is set aside is written later.
-func (p *Planner) markDirty(j *job) {
-	if j.dirty {
-		return
+// size returns how many bytes the values have.
+func (w *jobWrite) size() int {
+	n := 0
+	for _, r := range w.records {
+		n += len(r.Value)
 	}
+	return n
+}
+
+// markDirty marks a job's records as out of date. Those of a job that is set aside are written later.
+func (p *Planner) markDirty(j *job) {
 	j.dirty = true
 	if !j.isAside() {
-		p.dirty = append(p.dirty, j)
+		p.enqueue(j)
 	}
 }
 
-// flush puts the next write into the effects if none is in flight.
+// enqueue queues a job whose records are to be written.
+func (p *Planner) enqueue(j *job) {
+	if !j.queued {
+		j.queued = true
+		p.writeQueue = append(p.writeQueue, j)
+	}
+}
+
+// flush puts the next write into the effects if none is in flight. A job whose records it does not hold all goes to the
+// end of the queue.
 func (p *Planner) flush() {
-	if p.inFlight != nil || len(p.dirty) == 0 {
+	if p.inFlight != nil || len(p.writeQueue) == 0 {
 		return
 	}
 	p.seq++
+	b := writeBuilder{write: &Write{Seq: p.seq}, ops: baseOps}
 	next := &inFlightWrite{seq: p.seq, since: p.now.Monotonic}
-	write := &Write{Seq: p.seq}
-	if !p.dirty[0].alone {
-		write.Speeds = p.encodeSpeeds()
-		next.speeds = write.Speeds != nil
+	alone := p.writeQueue[0].alone
+	if !alone {
+		b.write.Speeds = p.encodeSpeeds()
+		next.speeds = b.write.Speeds != nil
 	}
-	n, ops := 0, baseOps
-	for ; n < len(p.dirty); n++ {
-		j := p.dirty[n]
-		if ops += j.txnOps(); ops > maxTxnOps || n > 0 && (j.alone || p.dirty[0].alone) {
+	queue := p.writeQueue
+	p.writeQueue = nil
+	var unfinished []*job
+	for len(queue) > 0 {
+		j := queue[0]
+		if len(next.jobs) > 0 && (alone || j.alone) {
 			break
 		}
-		r := j.record()
-		write.Records = append(write.Records, r)
-		next.jobs = append(next.jobs, jobWrite{job: j, followUps: j.followUps, removal: j.removing, size: len(r.Value)})
-		j.followUps, j.dirty = nil, false
+		if len(j.pending) == 0 {
+			j.pending, j.awaiting, j.followUps, j.dirty = p.encodeRecords(j), j.followUps, nil, false
+		}
+		taken := b.take(j.pending)
+		if len(taken) == 0 {
+			break
+		}
+		queue = queue[1:]
+		j.queued, j.pending = false, j.pending[len(taken):]
+		next.jobs = append(next.jobs, jobWrite{j, taken})
+		if len(j.pending) > 0 || j.dirty {
+			j.queued = true
+			unfinished = append(unfinished, j)
+		}
 	}
-	p.dirty = slices.Delete(p.dirty, 0, n)
+	p.writeQueue = append(queue, unfinished...)
 	p.inFlight = next
-	p.effects.Write = write
+	p.effects.Write = b.write
 }
 
-// record returns the record of a job as it has to be stored now.
-func (j *job) record() Record {
-	r := Record{ID: j.ID, Rev: j.rev}
-	if j.removing {
-		return r
+// writeBuilder collects the records of a write.
+type writeBuilder struct {
+	write *Write
+	ops   int
+}
+
+// take adds the first of a job's records, as far as there is space, and returns them. The first record of all is
+// always taken.
+func (b *writeBuilder) take(records []pendingRecord) []pendingRecord {
+	n := 0
+	for n < min(len(records), maxJobRecords) {
+		r := records[n].Record
+		if b.ops+r.txnOps() > maxTxnOps {
+			break
+		}
+		b.ops += r.txnOps()
+		b.write.Records = append(b.write.Records, r)
+		n++
 	}
-	// The types that are encoded can't fail to be.
-	r.Value, _ = task.Encode(j.progress())
-	r.Ended = j.state.Ended()
-	return r
+	return records[:n:n]
 }
 
 // encodeSpeeds returns the speeds of workers if it is time to store them, nil if not.
@@ -112,12 +139,12 @@
 	if len(speeds) == 0 {
 		return nil
 	}
-	raw, _ := json.Marshal(speeds)
+	raw, _ := json.Marshal(speeds) // can't fail
 	return raw
 }
 
 // applyWritten applies the news that a write is stored: it takes over the new
-// revision, forgets removed jobs, and carries out the actions that waited.
+// revision, forgets removed jobs, and carries out the actions that waited for the last of a job's records.
 func (p *Planner) applyWritten(m WrittenMsg) {
 	stored := p.inFlight
 	if stored == nil || stored.seq != m.Seq {
@@ -125,22 +152,28 @@
 	}
 	p.inFlight = nil
 	p.storeRev, p.lastStoredAt = max(p.storeRev, m.Rev), p.now.Monotonic
+	var ready []followUp
 	for _, w := range stored.jobs {
-		if w.removal {
-			delete(p.jobs, w.job.ID)
+		j := w.job
+		for _, r := range w.records {
+			j.recordStored(r, m.Rev)
+			if r.Part == 0 && r.Value == nil {
+				delete(p.jobs, j.ID)
+			}
+		}
+		if len(j.pending) == 0 {
+			ready = append(ready, j.awaiting...)
+			j.awaiting = nil
+			p.recordAccepted(j)
 		}
-		w.job.rev = m.Rev
-		p.recordAccepted(w.job)
 	}
-	for _, w := range stored.jobs {
-		for _, action := range w.followUps {
-			if action.startUnit != nil {
-				p.orderStart(action.startUnit, action.startRun)
-			}
-			if action.ackWorker != nil {
-				action.ackWorker.recordEnd(action.ackNumber)
-				p.grant(action.ackWorker)
-			}
+	for _, action := range ready {
+		if action.startUnit != nil {
+			p.orderStart(action.startUnit, action.startRun)
+		}
+		if action.ackWorker != nil {
+			action.ackWorker.recordEnd(action.ackNumber)
+			p.grant(action.ackWorker)
 		}
 	}
 }
--- a/core/task/progress.go
+++ b/core/task/progress.go
@@ -56,10 +56,27 @@
 	Ended   clock.Millis   `json:"ended_ms,omitempty"`
 	Reason  string         `json:"reason,omitempty"`
 	Tasks   []TaskProgress `json:"marks,omitempty"`
+	// Parts is the number of the parts that hold the tasks of a large job, 0 if Tasks does.
+	Parts int `json:"-"`
 }
 
-// Encode encodes a job or its progress for the store.
-func Encode(v any) ([]byte, error) { return json.Marshal(v) }
+// partedProgress is Progress in parts as it is stored. The number of parts stands where builds that don't know
+// parts expect tasks: they can't read the record, rather than take the job for one that has not begun.
+type partedProgress struct {
+	State   State        `json:"state"`
+	Started bool         `json:"begun,omitempty"`
+	Ended   clock.Millis `json:"ended_ms,omitempty"`
+	Reason  string       `json:"reason,omitempty"`
+	Parts   int          `json:"marks"`
+}
+
+// Encode encodes a job, its progress or a part of that for the store.
+func Encode(v any) ([]byte, error) {
+	if p, ok := v.(*Progress); ok && p.Parts > 0 {
+		return json.Marshal(partedProgress{p.State, p.Started, p.Ended, p.Reason, p.Parts})
+	}
+	return json.Marshal(v)
+}
 
 // DecodeJob decodes and checks a stored job.
 func DecodeJob(raw []byte) (*Job, error) {
@@ -73,18 +90,26 @@
 // DecodeProgress decodes and checks the stored progress of a job.
 func DecodeProgress(raw []byte) (*Progress, error) {
 	p := &Progress{}
-	if err := json.Unmarshal(raw, p); err != nil {
+	err := json.Unmarshal(raw, p)
+	if err == nil {
+		return p, checkTasks(p.Tasks)
+	}
+	var parted partedProgress
+	if json.Unmarshal(raw, &parted) != nil {
 		return nil, err
 	}
-	return p, p.check()
+	if parted.Parts < 1 || parted.Parts > MaxTasks {
+		return nil, fault.New(fault.Invalid, "restore the record or delete the job", "the progress is in %d parts", parted.Parts)
+	}
+	return &Progress{State: parted.State, Started: parted.Started, Ended: parted.Ended, Reason: parted.Reason, Parts: parted.Parts}, nil
 }
 
 // maxRuns is far more runs than a task can have.
 const maxRuns = 1 << 31
 
-// check returns an error if a number is one that no planner writes.
-func (p *Progress) check() error {
-	for _, m := range p.Tasks {
+// checkTasks returns an error if a number is one that no planner writes.
+func checkTasks(tasks []TaskProgress) error {
+	for _, m := range tasks {
 		runs := []int{m.Run, m.Failures, m.AppliedRun, m.FailedRun}
 		switch {
 		case m.Occurrence < 0 || m.Occurrence >= MaxOccurrences || m.Step < 0 || m.Step >= MaxSteps || m.Index < 0 || m.Index >= MaxTasks:
--- a/core/task/task.go
+++ b/core/task/task.go
@@ -89,7 +89,7 @@
 // Limits of one job.
 const (
 	MaxSteps       = 256
-	MaxTasks       = 5000 // over all occurrences; their progress is one store value, which is limited to 1 MB
+	MaxTasks       = 5000 // over all occurrences
 	MaxOccurrences = 5000
 	maxNeed        = 1 << 40                // of one resource; sums over all workers and tasks stay in range
 	maxDuration    = 1000 * 24 * clock.Hour // of an estimate or an interval
--- a/io/front/index.go
+++ b/io/front/index.go
@@ -2,6 +2,7 @@
 
 import (
 	"log/slog"
+	"strconv"
 	"sync"
 
 	"gypsumcrank/core/plan"
@@ -18,16 +19,24 @@
 
 	mu        sync.Mutex
 	jobs      map[string]*entry
-	fronts    map[string]string
+	fronts    map[string]registration[string] // addresses by name
+	formats   map[string]registration[int]    // newest format of records that each front reads
 	listeners map[int]func(msg any)
 	nextID    int
 }
 
+// registration is what a front has registered of itself.
+type registration[T any] struct {
+	value T
+	rev   int64
+}
+
 // entry is all that the store holds about one job.
 type entry struct {
 	job      *task.Job
-	progress *task.Progress
+	progress *task.Progress // without the tasks of its parts
 	rev      int64
+	parts    map[int]part
 	// unreadable is set if the stored progress can't be read: nobody knows what runs, so no planner
 	// may take the job.
 	unreadable bool
@@ -35,8 +44,36 @@
 	ended      chan struct{} // closed when the job has ended; nil if nobody waits
 }
 
+// part is one part of a job's progress.
+type part struct {
+	tasks      []task.TaskProgress
+	rev        int64
+	unreadable bool
+}
+
+// readable reports whether all of a job's stored progress can be read.
+func (e *entry) readable() bool {
+	if e.unreadable {
+		return false
+	}
+	for _, p := range e.parts {
+		if p.unreadable && e.progress != nil && e.progress.Parts > 0 {
+			return false
+		}
+	}
+	return true
+}
+
 func (e *entry) jobMsg() plan.JobMsg {
-	return plan.JobMsg{Job: e.job, Progress: e.progress, Rev: e.rev, Cancelled: e.cancelled}
+	m := plan.JobMsg{Job: e.job, Progress: e.progress, Rev: e.rev, PartRevs: make(map[int]int64, len(e.parts)), Cancelled: e.cancelled}
+	tasks := make(map[int][]task.TaskProgress, len(e.parts))
+	for n, p := range e.parts {
+		m.PartRevs[n], tasks[n] = p.rev, p.tasks
+	}
+	if e.progress != nil {
+		m.Progress = e.progress.Join(tasks)
+	}
+	return m
 }
 
 // Apply applies changes from the mirror.
@@ -44,7 +81,7 @@
 	x.mu.Lock()
 	defer x.mu.Unlock()
 	if x.jobs == nil {
-		x.jobs, x.fronts = make(map[string]*entry), make(map[string]string)
+		x.jobs, x.fronts, x.formats = make(map[string]*entry), make(map[string]registration[string]), make(map[string]registration[int])
 	}
 	for _, c := range changes {
 		kind, id := store.ParseKey(c.Key)
@@ -55,8 +92,12 @@
 			x.applyCancel(id, c)
 		case store.ProgressKind:
 			x.applyProgress(id, c)
+		case store.PartKind:
+			x.applyPart(id, c)
 		case store.FrontKind:
 			x.applyFront(id, c)
+		case store.FormatKind:
+			x.applyFormat(id, c)
 		}
 	}
 }
@@ -82,7 +123,7 @@
 	}
 	e := x.entryFor(id)
 	e.job = j
-	if !e.unreadable {
+	if e.readable() {
 		x.notify(e.jobMsg())
 	}
 }
@@ -106,14 +147,43 @@
 		return
 	}
 	p, err := task.DecodeProgress(c.Value)
-	wasUnreadable := e.unreadable
+	wasReadable := e.readable()
 	if e.unreadable = err != nil; e.unreadable {
 		x.Log.Error("stored_progress_unreadable", "job", id, "revision", c.Rev, "error", err)
 		return
 	}
 	e.progress, e.rev = p, c.Rev
 	e.signalEnd()
-	if wasUnreadable && e.job != nil {
+	x.notifyReadable(e, wasReadable)
+}
+
+func (x *Index) applyPart(rest string, c store.Change) {
+	id, n, ok := store.ParsePart(rest)
+	if !ok {
+		return
+	}
+	if c.Deleted {
+		if e := x.jobs[id]; e != nil {
+			delete(e.parts, n)
+		}
+		return
+	}
+	e := x.entryFor(id)
+	wasReadable := e.readable()
+	tasks, err := task.DecodePart(c.Value)
+	if err != nil {
+		x.Log.Error("stored_part_unreadable", "job", id, "part", n, "revision", c.Rev, "error", err)
+	}
+	if e.parts == nil {
+		e.parts = make(map[int]part)
+	}
+	e.parts[n] = part{tasks: tasks, rev: c.Rev, unreadable: err != nil}
+	x.notifyReadable(e, wasReadable)
+}
+
+// notifyReadable passes a job on once its progress can be read again.
+func (x *Index) notifyReadable(e *entry, wasReadable bool) {
+	if !wasReadable && e.readable() && e.job != nil {
 		x.notify(e.jobMsg())
 	}
 }
@@ -128,7 +198,28 @@
 		x.Log.Warn("stored_front_unreadable", "front", name, "revision", c.Rev, "error", err)
 		return
 	}
-	x.fronts[name] = addr
+	x.fronts[name] = registration[string]{addr, c.Rev}
+}
+
+func (x *Index) applyFormat(name string, c store.Change) {
+	delete(x.formats, name)
+	if format, err := strconv.Atoi(string(c.Value)); err == nil && !c.Deleted {
+		x.formats[name] = registration[int]{format, c.Rev}
+	}
+}
+
+// PartsReadable reports whether all registered fronts, of which there are any, read progress in parts. Any of
+// them may become the planner. A format counts if it was registered together with the address: otherwise it is
+// left from a process of another build.
+func (x *Index) PartsReadable() bool {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	for name, front := range x.fronts {
+		if format := x.formats[name]; format.rev != front.rev || format.value < store.RecordFormat {
+			return false
+		}
+	}
+	return len(x.fronts) > 0
 }
 
 func (x *Index) notify(msg any) {
@@ -146,7 +237,7 @@
 		x.listeners = make(map[int]func(msg any))
 	}
 	for _, e := range x.jobs {
-		if e.job != nil && !e.unreadable {
+		if e.job != nil && e.readable() {
 			f(e.jobMsg())
 		}
 	}
@@ -165,8 +256,8 @@
 	x.mu.Lock()
 	defer x.mu.Unlock()
 	out := make([]string, 0, len(x.fronts))
-	for _, addr := range x.fronts {
-		out = append(out, addr)
+	for _, front := range x.fronts {
+		out = append(out, front.value)
 	}
 	return out
 }
--- a/io/front/index_test.go
+++ b/io/front/index_test.go
@@ -40,3 +40,64 @@
 	x.Apply([]store.Change{{KV: store.KV{Key: store.JobKey("3"), Value: raw, Rev: 10}}})
 	c.Check(len(received), qt.Equals, 2)
 }
+
+// Guards against a planner that does not know of tasks that have run: a job of which a part can't be read is left alone
+// until it can.
+func TestIndexJoinsParts(t *testing.T) {
+	c := qt.New(t)
+	x := &Index{Log: slog.New(slog.DiscardHandler)}
+	var last plan.JobMsg
+	received := 0
+	x.Listen(func(m any) { last, received = m.(plan.JobMsg), received+1 })
+	put := func(key string, v any, rev int64) store.Change {
+		raw, err := task.Encode(v)
+		c.Assert(err, qt.IsNil)
+		return store.Change{KV: store.KV{Key: key, Value: raw, Rev: rev}}
+	}
+	j := &task.Job{ID: "1", Queue: "q", Steps: []task.Step{{Count: 300, Need: task.Resources{MilliCPU: 100}}}}
+	part := func(index int) *task.Part { return &task.Part{Tasks: []task.TaskProgress{{Index: index, Run: 1}}} }
+	listed := func() plan.JobMsg { x.Listen(func(m any) { last = m.(plan.JobMsg) })(); return last }
+	x.Apply([]store.Change{put(store.JobKey("1"), j, 5), put(store.PartKey("1", 2), part(70), 6)})
+	c.Check(listed().Progress, qt.IsNil)
+	c.Check(listed().PartRevs, qt.DeepEquals, map[int]int64{2: 6})
+	x.Apply([]store.Change{put(store.ProgressKey("1"), &task.Progress{State: task.Running, Parts: 5}, 8), put(store.PartKey("1", 5), part(299), 7)})
+	c.Check(listed().Progress.Tasks, qt.DeepEquals, []task.TaskProgress{{Index: 70, Run: 1}, {Index: 299, Run: 1}})
+	c.Check(received, qt.Equals, 1)
+	x.Apply([]store.Change{{KV: store.KV{Key: store.PartKey("1", 5), Value: []byte("?"), Rev: 9}}})
+	last = plan.JobMsg{}
+	c.Check(listed().Job, qt.IsNil)
+	s, known := x.find("1")
+	c.Check(known, qt.IsTrue)
+	c.Check(s, qt.Equals, task.Running)
+	x.Apply([]store.Change{put(store.PartKey("1", 5), part(298), 10)})
+	c.Check(received, qt.Equals, 2)
+	c.Check(last.PartRevs, qt.DeepEquals, map[int]int64{2: 6, 5: 10})
+	x.Apply([]store.Change{{KV: store.KV{Key: store.PartKey("1", 2), Rev: 11}, Deleted: true}})
+	c.Check(listed().Progress.Tasks, qt.DeepEquals, []task.TaskProgress{{Index: 298, Run: 1}})
+	for _, odd := range []string{store.PartKey("", 1), "gypsumcrank/part/1/x", "gypsumcrank/part/1", "gypsumcrank/part/1/0"} {
+		x.Apply([]store.Change{{KV: store.KV{Key: odd, Value: []byte("?"), Rev: 12}}})
+	}
+	c.Check(listed().PartRevs, qt.HasLen, 1)
+}
+
+// Guards against records that the next planner can't read: it may be any front that is registered.
+func TestPartsAreReadableOnceAllFrontsReadThem(t *testing.T) {
+	c := qt.New(t)
+	x := &Index{Log: slog.New(slog.DiscardHandler)}
+	put := func(key, value string, rev int64) store.Change {
+		return store.Change{KV: store.KV{Key: key, Value: []byte(value), Rev: rev}}
+	}
+	c.Check(x.PartsReadable(), qt.IsFalse)
+	x.Apply([]store.Change{put(store.FrontKey("a"), "10.0.0.1:1", 5), put(store.FormatKey("a"), "1", 5)})
+	c.Check(x.PartsReadable(), qt.IsTrue)
+	x.Apply([]store.Change{put(store.FrontKey("b"), "10.0.0.2:1", 6)}) // of the build before
+	c.Check(x.PartsReadable(), qt.IsFalse)
+	x.Apply([]store.Change{{KV: store.KV{Key: store.FrontKey("b"), Rev: 7}, Deleted: true}})
+	c.Check(x.PartsReadable(), qt.IsTrue)
+	x.Apply([]store.Change{put(store.FrontKey("a"), "10.0.0.1:1", 8)}) // the build before in its place; the format is left
+	c.Check(x.PartsReadable(), qt.IsFalse)
+	x.Apply([]store.Change{put(store.FrontKey("a"), "10.0.0.1:1", 9), put(store.FormatKey("a"), "2", 9)})
+	c.Check(x.PartsReadable(), qt.IsTrue)
+	x.Apply([]store.Change{{KV: store.KV{Key: store.FormatKey("a"), Rev: 10}, Deleted: true}})
+	c.Check(x.PartsReadable(), qt.IsFalse)
+}
--- a/io/steer/term.go
+++ b/io/steer/term.go
@@ -61,6 +61,7 @@
 func (t *term) serve(ctx context.Context) {
 	s := t.coord
 	t.planner = &plan.Planner{Epoch: t.epoch, Settings: s.planSettings()}
+	t.planner.AllowParts(s.Index.PartsReadable())
 	t.conns = make(map[string]*link.Conn)
 	t.ended = make(chan string, 1)
 	t.loop = &kern.Loop{Model: t}
@@ -183,6 +184,7 @@
 		msg = plan.LinkMsg{Node: m.node}
 	case plan.TickMsg:
 		t.checkKey()
+		t.planner.AllowParts(t.coord.Index.PartsReadable())
 		t.updateGauges(now.Monotonic)
 		t.publishForecast(now.Monotonic)
 	}
--- a/io/steer/term_test.go
+++ b/io/steer/term_test.go
@@ -28,7 +28,7 @@
 	conn, side := link.New(here), link.New(there)
 	t.Cleanup(conn.Close)
 	t.Cleanup(side.Close)
-	coord := &Coordinator{Clock: clk, Mirror: &mirror.Mirror{}, Config: &route.Current{}, Log: slog.New(slog.DiscardHandler)}
+	coord := &Coordinator{Clock: clk, Mirror: &mirror.Mirror{}, Config: &route.Current{}, Index: &front.Index{}, Log: slog.New(slog.DiscardHandler)}
 	tm := &term{
 		coord: coord, epoch: 7, leaseTTL: 1500, leaseValidUntil: clk.Boottime() + 1500, conns: map[string]*link.Conn{},
 		planner: &plan.Planner{Epoch: 7, Settings: plan.DefaultSettings()}, ended: make(chan string, 1),
--- a/io/steer/write.go
+++ b/io/steer/write.go
@@ -60,11 +60,17 @@
 	}
 	for _, r := range w.Records {
 		key := store.ProgressKey(r.ID)
+		if r.Part > 0 {
+			key = store.PartKey(r.ID, r.Part)
+		}
 		txn.If = append(txn.If, store.Condition{Key: key, Rev: r.Rev})
-		if r.Value == nil {
-			txn.Delete = append(txn.Delete, key, store.CancelKey(r.ID), store.JobKey(r.ID))
-		} else {
+		switch {
+		case r.Value != nil:
 			put(key, r.Value)
+		case r.Part > 0:
+			txn.Delete = append(txn.Delete, key)
+		default:
+			txn.Delete = append(txn.Delete, key, store.CancelKey(r.ID), store.JobKey(r.ID))
 		}
 	}
 	if w.Speeds != nil {
