--- a/core/plan/export_test.go
+++ b/core/plan/export_test.go
@@ -16,5 +16,8 @@
 }
 func (h *health) Quarantined(now clock.Millis) bool { return h.quarantined(now) }
 
-// MaxTxnOps is the limit of the operations of a write.
-const MaxTxnOps = maxTxnOps
+// Limits of a write.
+const (
+	MaxTxnOps     = maxTxnOps
+	MaxWriteBytes = maxWriteBytes
+)
--- a/core/plan/record_test.go
+++ b/core/plan/record_test.go
@@ -19,22 +19,33 @@
 	return j
 }
 
-// watchWrites makes the store check the operations of each write.
+// watchWrites makes the store check the size of each write.
 func (f *fleet) watchWrites() {
 	f.rejects = func(w *plan.Write) string {
-		ops := 2
+		size, ops := len(w.Speeds), 2
 		for _, r := range w.Records {
+			size += len(r.Value)
 			if ops += 2; r.Part == 0 && r.Value == nil {
 				ops += 2
 			}
 		}
-		if ops > plan.MaxTxnOps {
-			f.t.Fatalf("a write has %d operations", ops)
+		if size > plan.MaxWriteBytes && len(w.Records) > 1 || ops > plan.MaxTxnOps {
+			f.t.Fatalf("a write has %d bytes and %d operations", size, ops)
 		}
 		return ""
 	}
 }
 
+// The largest write goes over the slowest link of the users' sheets, in base64, in half the time of a call to the
+// store beside other traffic.
+func TestTheLargestWriteFitsTheSlowestLink(t *testing.T) {
+	const linkBits, callTime, share = 10_000_000, 0.5, 0.6 // bits a second, seconds, of the link
+	for _, size := range []int{plan.MaxWriteBytes, task.MaxRecord} {
+		took := float64(size) * 4 / 3 * 8 / linkBits
+		qt.Check(t, took <= callTime*share, qt.IsTrue, qt.Commentf("%d bytes take %.3f s", size, took))
+	}
+}
+
 // Guards against a record with the crash histories of all tasks of a large job, which the store rejects: all workers
 // crash under 5,000 tasks (review/12). A small job runs meanwhile.
 func TestAllWorkersCrashUnderTheLargestJob(t *testing.T) {
@@ -177,3 +188,14 @@
 		})
 	}
 }
+
+// Guards against a write that takes longer over a slow link than a call may, and is repeated without end (review/6): a
+// burst of jobs whose tasks start at once.
+func TestAWriteOfManyJobsIsBoundedInBytes(t *testing.T) {
+	f := newFleet(t, 11, 3, workerResources)
+	f.watchWrites()
+	for i := range 16 {
+		f.submit(largeJob(fmt.Sprint("j", i), task.MaxSingle))
+	}
+	f.finish(clock.Minute)
+}
--- a/core/plan/write.go
+++ b/core/plan/write.go
@@ -13,6 +13,9 @@
 	maxTxnOps = 32
 	// baseOps are the operations that are not a job's: the condition on the planner key, and the put of speeds.
 	baseOps = 2
+	// maxWriteBytes limits the values of one write of several records. A link of 10 Mbit/s carries them, encoded
+	// for the wire, in half the time of a call.
+	maxWriteBytes = 192 << 10
 	// maxJobRecords limits the records of one job in a write, so that a large job leaves space for others.
 	maxJobRecords = 6
 )
@@ -78,7 +81,7 @@
 	alone := p.writeQueue[0].alone
 	if !alone {
 		b.write.Speeds = p.encodeSpeeds()
-		next.speeds = b.write.Speeds != nil
+		b.bytes, next.speeds = len(b.write.Speeds), b.write.Speeds != nil
 	}
 	queue := p.writeQueue
 	p.writeQueue = nil
@@ -110,8 +113,8 @@
 
 // writeBuilder collects the records of a write.
 type writeBuilder struct {
-	write *Write
-	ops   int
+	write      *Write
+	ops, bytes int
 }
 
 // take adds the first of a job's records, as far as there is space, and returns them. The first record of all is
@@ -120,10 +123,10 @@
 	n := 0
 	for n < min(len(records), maxJobRecords) {
 		r := records[n].Record
-		if b.ops+r.txnOps() > maxTxnOps {
+		if b.ops+r.txnOps() > maxTxnOps || len(b.write.Records) > 0 && b.bytes+len(r.Value) > maxWriteBytes {
 			break
 		}
-		b.ops += r.txnOps()
+		b.ops, b.bytes = b.ops+r.txnOps(), b.bytes+len(r.Value)
 		b.write.Records = append(b.write.Records, r)
 		n++
 	}
