--- a/core/plan/centre.go
+++ b/core/plan/centre.go
@@ -236,7 +236,7 @@
 	}
 	for _, w := range p.workers {
 		switch {
-		case w.dead || w.draining:
+		case !p.present(w):
 		case p.inClosedCentre(w):
 			inside += w.capacity.Accelerators
 		default:
@@ -260,7 +260,7 @@
 	open, inside := 0, 0
 	for _, w := range p.workers {
 		switch {
-		case w.dead || w.draining || !matches(w, u):
+		case !p.present(w) || !matches(w, u):
 		case p.inClosedCentre(w):
 			inside += copies(w.capacity, u)
 		default:
--- a/core/plan/forecast.go
+++ b/core/plan/forecast.go
@@ -14,8 +14,8 @@
 func (p *Planner) Forecast() *admit.Forecast {
 	sizes := make(map[string]task.Resources)
 	for _, w := range p.workers {
-		if w.service == "" {
-			continue // known from a record only
+		if !w.joined || p.forgotten(w) {
+			continue
 		}
 		sizes[w.service] = sizes[w.service].Max(w.largest)
 	}
--- a/core/plan/headroom.go
+++ b/core/plan/headroom.go
@@ -139,7 +139,7 @@
 func (p *Planner) mostlyIdle(service string) bool {
 	var used, total task.Resources
 	for _, w := range p.workers {
-		if !w.dead && w.service == service {
+		if w.service == service && p.present(w) {
 			used, total = used.Plus(w.used).Minus(w.doubtful), total.Plus(w.capacity)
 		}
 	}
--- a/core/plan/lease.go
+++ b/core/plan/lease.go
@@ -20,20 +20,11 @@
 }
 
 // checkLease releases the tasks of a silent worker once its leases have expired.
-// If it has not sent lists to this planner, these are the leases that a deposed
-// planner may have granted.
 func (p *Planner) checkLease(w *worker) {
 	if w.dead || len(w.units) == 0 && w.lastReportAt == 0 {
 		return
 	}
-	if w.lastReportAt == 0 {
-		if p.now.Monotonic-p.started > p.Settings.StaleGrantWindow+lease.Wait(p.Settings.MaxLease) {
-			p.expireLease(w)
-		}
-		return
-	}
-	silent := p.now.Monotonic - w.lastReportAt
-	if w.grantedUntil > 0 && lease.Ended(w.grantedUntil, w.clock, silent) || w.grantedUntil == 0 && silent > 2*p.Settings.MaxLease {
+	if p.leasesEnded(w) {
 		p.expireLease(w)
 	}
 }
--- a/core/plan/loss.go
+++ b/core/plan/loss.go
@@ -18,7 +18,7 @@
 // replacementLoss returns why the runs of a worker are over that was replaced by a
 // newer incarnation.
 func (w *worker) replacementLoss() loss {
-	if w.draining || w.left || w.departed {
+	if w.hasAnnouncedEnd() {
 		return lostLeft
 	}
 	return lostCrash
--- a/core/plan/order.go
+++ b/core/plan/order.go
@@ -17,7 +17,7 @@
 		return
 	}
 	w := u.placedOn
-	if w.dead || w.draining || !w.acceptedEpoch || w.overfull() || p.inClosedCentre(w) || u.job.state.Ended() {
+	if !p.takesStarts(w) || w.overfull() || u.job.state.Ended() {
 		p.abandonStart(u)
 		return
 	}
--- a/core/plan/place.go
+++ b/core/plan/place.go
@@ -63,15 +63,6 @@
 	return s
 }
 
-// usable reports whether a worker may be given new tasks.
-func (p *Planner) usable(w *worker) bool {
-	if w.dead || w.draining || p.inClosedCentre(w) || !w.acceptedEpoch || !w.linked || !w.tombstonesAcknowledged() || p.now.Monotonic < w.backoffUntil || w.health.quarantined(p.now.Monotonic) && !w.health.onParole(p.now.Monotonic) {
-		return false
-	}
-	// A worker without a recent report would start tasks on a short lease.
-	return p.now.Monotonic-w.lastReportAt < p.Settings.MaxLease/2
-}
-
 // avoidFor is how long a task that failed on a worker waits for another one.
 const avoidFor = 4 * clock.Second
 
@@ -99,7 +90,7 @@
 // capacity for it.
 func (p *Planner) hasAlternative(u *unit) bool {
 	for _, w := range p.workers {
-		if !w.dead && !w.draining && !p.inClosedCentre(w) && w.linked && matches(w, u) && !u.avoid[w.incarnation] && u.need().Fits(w.capacity) {
+		if p.open(w) && w.linked && matches(w, u) && !u.avoid[w.incarnation] && u.need().Fits(w.capacity) {
 			return true
 		}
 	}
--- a/core/plan/plan.go
+++ b/core/plan/plan.go
@@ -176,6 +176,7 @@
 		p.checkLease(w)
 		p.resend(w)
 		p.settle(w)
+		p.notePresence(w)
 	}
 	p.evictOverdue()
 	p.reportHold()
--- a/core/plan/sched.go
+++ b/core/plan/sched.go
@@ -144,14 +144,14 @@
 	return j.CriticalPath(p.totalResources(j.Service), func(step int) clock.Millis { return p.expectedDuration(j, step) })
 }
 
-// totalResources returns the resources of all live workers of a service.
+// totalResources returns the resources of the present workers of a service.
 func (p *Planner) totalResources(service string) task.Resources {
 	if sum, ok := p.totals[service]; ok {
 		return sum
 	}
 	var sum task.Resources
 	for _, w := range p.workers {
-		if !w.dead && w.service == service {
+		if w.service == service && p.present(w) {
 			sum = sum.Plus(w.capacity)
 		}
 	}
--- a/core/plan/speed.go
+++ b/core/plan/speed.go
@@ -201,11 +201,11 @@
 	}
 }
 
-// sortedWorkers returns all live workers by host.
+// sortedWorkers returns all workers by host that are there or may come back.
 func (p *Planner) sortedWorkers() []*worker {
 	out := make([]*worker, 0, len(p.workers))
 	for _, w := range p.workers {
-		if !w.dead {
+		if !w.dead && !p.forgotten(w) {
 			out = append(out, w)
 		}
 	}
--- a/core/plan/worker.go
+++ b/core/plan/worker.go
@@ -32,7 +32,9 @@
 	lapsed  []endedRun   // runs that ended with its leases, until it is known whether it had crashed
 	trials  trials       // as of this scheduling round
 
-	joined              bool         // it has reported to this planner
+	joined              bool         // its side has reported to this planner
+	joinedAt            clock.Millis // when its side first did
+	presentAt           clock.Millis // when it was last present
 	checkedIncarnations int          // Planner.incarnations when older incarnations were last looked for
 	linked              bool         // its side is connected
 	acceptedEpoch       bool         // it has accepted this planner's epoch
@@ -178,7 +180,9 @@
 		return w
 	}
 	if !w.joined || old != w {
-		w.joined = true
+		if !w.joined {
+			w.joined, w.joinedAt = true, p.now.Monotonic
+		}
 		w.node, w.service, w.kind, w.rack, w.capacity, w.linked = m.Node, m.Service, m.Kind, m.Rack, m.Capacity, true
 		if old == nil || old.dead || w.incarnation.StartedAt >= old.incarnation.StartedAt || old.incarnation == m.Predecessor {
 			p.byNode[m.Node] = w
