--- a/core/plan/fleet_test.go
+++ b/core/plan/fleet_test.go
@@ -17,27 +17,28 @@
 // fleet simulates workers and a store on one clock, around one planner at a
 // time. It checks the invariants after each order.
 type fleet struct {
-	t          *testing.T
-	now        clock.Millis
-	epoch      int64
-	planner    planner
-	newPlanner func(epoch int64) planner // makes the next planner
-	config     *route.Config
-	hosts      []*host
-	jobs       map[string]*task.Job
-	cancels    map[string]bool
-	records    map[string]*task.Progress // without the tasks of parts
-	revs       map[string]int64
-	parts      map[string]map[int]storedPart
-	noParts    bool // a front that can't read parts may become the planner
-	rev        int64
-	storeDelay clock.Millis // how long a write takes
-	storeDown  bool
-	rejects    func(w *plan.Write) string // why the store rejects a write, "" if it takes it
-	pending    []event
-	fails      func(name task.Name, run int, h *host) bool
-	duration   func(j *task.Job, step int, h *host) clock.Millis
-	orderDelay func() clock.Millis // delay of an order that is then not answered; 0 if it is answered at once
+	t                *testing.T
+	now              clock.Millis
+	epoch            int64
+	planner          planner
+	newPlanner       func(epoch int64) planner // makes the next planner
+	config           *route.Config
+	hosts            []*host
+	jobs             map[string]*task.Job
+	cancels          map[string]bool
+	records          map[string]*task.Progress // without the tasks of parts
+	revs             map[string]int64
+	parts            map[string]map[int]storedPart
+	checkpointLength int  // of the shortest checkpoint
+	noParts          bool // a front that can't read parts may become the planner
+	rev              int64
+	storeDelay       clock.Millis // how long a write takes
+	storeDown        bool
+	rejects          func(w *plan.Write) string // why the store rejects a write, "" if it takes it
+	pending          []event
+	fails            func(name task.Name, run int, h *host) bool
+	duration         func(j *task.Job, step int, h *host) clock.Millis
+	orderDelay       func() clock.Millis // delay of an order that is then not answered; 0 if it is answered at once
 	// firstReportDelay is how long a worker takes to give its lists to a new planner.
 	firstReportDelay func() clock.Millis
 	slowdown         func(h *host) float64 // how many times as long the worker's tasks take
--- a/core/plan/host_test.go
+++ b/core/plan/host_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"sort"
+	"strings"
 
 	"gypsumcrank/core/clock"
 	"gypsumcrank/core/lease"
@@ -129,6 +130,7 @@
 	e := plan.EndedTask{Number: h.lastEnd, Task: name, Run: r.run, Kind: kind}
 	if h.f.jobs[r.name.Job].Steps[r.name.Step].Checkpoints && r.startedAt > 0 {
 		e.Checkpoint = fmt.Sprint(r.work)
+		e.Checkpoint += strings.Repeat(" ", max(0, h.f.checkpointLength-len(e.Checkpoint)))
 		h.f.checkpoints[h.f.checkpointOwner(r.name)+e.Checkpoint] = true
 	}
 	h.ends = append(h.ends, e)
--- a/core/plan/odd_test.go
+++ b/core/plan/odd_test.go
@@ -2,10 +2,12 @@
 
 import (
 	"math"
+	"strings"
 	"testing"
 
 	qt "github.com/frankban/quicktest"
 
+	"gypsumcrank/core/clock"
 	"gypsumcrank/core/plan"
 	"gypsumcrank/core/task"
 )
@@ -56,3 +58,38 @@
 	f.finish(10_000)
 	qt.Check(t, f.records["a"].State, qt.Equals, task.Completed)
 }
+
+// Names that are too long for a record are no worker's, and hide none.
+func TestAReportWithLongNamesIsRefused(t *testing.T) {
+	c := qt.New(t)
+	f := newFleet(t, 2, 2, workerResources)
+	for _, long := range []string{strings.Repeat("x", task.MaxName+1), strings.Repeat("<", task.MaxName/2)} {
+		m := f.hosts[1].baseReport()
+		m.Node = long
+		f.send(m)
+		m = f.hosts[1].baseReport()
+		m.Incarnation.ID = long
+		f.send(m)
+	}
+	c.Check(f.events["report_refused"], qt.Equals, 4)
+	c.Check(f.events["worker_joined"], qt.Equals, 2)
+	c.Check(f.planner.(*plan.Planner).Workers(), qt.Equals, 2)
+}
+
+// Guards against an endpoint whose checkpoints alone make the record of a few tasks too long to be stored.
+func TestLongCheckpointsStopNoJob(t *testing.T) {
+	c := qt.New(t)
+	for _, length := range []int{task.MaxCheckpoint, task.MaxCheckpoint + 1, 1 << 20} {
+		f := newFleet(t, 2, 2, workerResources)
+		f.checkpointLength = length
+		j := oneTask("a", 0)
+		j.Steps[0].Count, j.Steps[0].Checkpoints, j.Steps[0].Estimate = 200, true, 4000
+		j.Steps[0].Need.MilliCPU = 1000
+		j.Attempts = 3
+		f.fails = func(_ task.Name, run int, _ *host) bool { return run == 1 }
+		f.submit(j)
+		f.run(3 * clock.Second)
+		f.finish(30 * clock.Second)
+		c.Check(f.records["a"].State, qt.Equals, task.Completed, qt.Commentf("%d", length))
+	}
+}
--- a/core/task/part.go
+++ b/core/task/part.go
@@ -14,7 +14,7 @@
 	MaxSingle = 256
 	// PartTasks is the number of tasks of a part.
 	PartTasks = 64
-	// MaxRecord is the size of the largest record of progress, in bytes.
+	// MaxRecord is the size of the largest job or record of progress, in bytes.
 	MaxRecord = 256 << 10
 	// MaxName is the length of the longest name of an endpoint or a host, in bytes as it is encoded.
 	MaxName = 128
--- a/io/front/front.go
+++ b/io/front/front.go
@@ -95,14 +95,17 @@
 		f.Log.Warn("job_unsupported", "job", j.ID, "queue", q.Name, "error", err)
 		return err
 	}
-	if err := f.awaitStore(ctx, "submit", j.ID); err != nil {
+	raw, err := task.Encode(j)
+	if err != nil {
 		return err
 	}
-	if err := f.refuseIfInfeasible(ctx, j); err != nil {
+	if len(raw) > task.MaxRecord {
+		return fault.New(fault.Invalid, "submit less text, or several jobs", "the job has %d bytes, more than %d", len(raw), task.MaxRecord).WithOutcome(fault.NotRun)
+	}
+	if err := f.awaitStore(ctx, "submit", j.ID); err != nil {
 		return err
 	}
-	raw, err := task.Encode(j)
-	if err != nil {
+	if err := f.refuseIfInfeasible(ctx, j); err != nil {
 		return err
 	}
 	ctx, cancel := context.WithTimeout(ctx, resolveTimeout.Duration())
--- a/io/front/front_test.go
+++ b/io/front/front_test.go
@@ -59,6 +59,28 @@
 	c.Check(time.Since(began) < time.Second, qt.IsTrue)
 }
 
+// Guards against a job that is longer than a value of the store may be, or than a slow link carries within a call: its
+// caller was answered that nobody knows whether it was stored.
+func TestAJobThatIsTooLongIsRefused(t *testing.T) {
+	c := qt.New(t)
+	f, _ := newFront(t)
+	j := job("1")
+	j.Payload = strings.Repeat("<", task.MaxRecord/6)
+	err := f.Submit(context.Background(), queue, "acme", j)
+	c.Check(fault.Is(err, fault.Invalid), qt.IsTrue)
+	c.Check(fault.Of(err).Outcome, qt.Equals, fault.NotRun)
+	j = job("1")
+	j.Payload = strings.Repeat("<", 4000) // as long as the users' page allows
+	for i := range task.MaxSteps - 1 {
+		step := j.Steps[0]
+		for before := range i + 1 {
+			step.After = append(step.After, before)
+		}
+		j.Steps = append(j.Steps, step)
+	}
+	c.Check(f.Submit(context.Background(), queue, "acme", j), qt.IsNil)
+}
+
 func TestSubmitStoresJobOnce(t *testing.T) {
 	c, ctx := qt.New(t), context.Background()
 	f, _ := newFront(t)
--- a/io/side/side.go
+++ b/io/side/side.go
@@ -364,6 +364,7 @@
 // which the planner's grant acknowledges all listed ends, or the connection is
 // lost.
 func (s *Side) sendReport(ctx context.Context, p holdParams, lists HoldReply) {
+	limitCheckpoints(&lists)
 	r := p.report
 	r.Epoch, r.Fence, r.Clock, r.AnsweredOrders = p.hold.Epoch, p.hold.Fence, lists.Clock, p.answeredOrders
 	r.Running, r.Ended, r.EndsCut = lists.Running, lists.Ended, lists.EndsCut
