--- a/io/mirror/mirror.go
+++ b/io/mirror/mirror.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"gypsumcrank/core/clock"
+	"gypsumcrank/core/fault"
 	"gypsumcrank/core/kern"
 	"gypsumcrank/io/store"
 )
@@ -25,7 +26,7 @@
 	// slow store responds in 250 ms.
 	pollGrace = 300 * clock.Millisecond
 	// retryDelay is the wait after a failed call.
-	retryDelay = 100 * time.Millisecond
+	retryDelay = 100 * clock.Millisecond
 	// expectWait is how long an idle watch may take to deliver an expected
 	// revision; with a store that responds within 4 ms it takes less than 20 ms.
 	expectWait = 50 * clock.Millisecond
@@ -196,6 +197,7 @@
 func (m *Mirror) run(ctx context.Context) {
 	defer close(m.done)
 	listed := false
+	failedAt := -relistInterval // when a watch last failed for good
 	for ctx.Err() == nil {
 		var err error
 		if !listed {
@@ -208,6 +210,12 @@
 				m.Log.Info("mirror_history_lost", "prefix", m.Prefix, "revision", m.Rev())
 				relist = true
 			}
+			if fault.Is(err, fault.TooLarge) || fault.Is(err, fault.Rejected) {
+				// The same poll would fail again. A list comes in pages.
+				m.Log.Warn("mirror_watch_fails", "prefix", m.Prefix, "revision", m.Rev(), "error", err)
+				sleep(ctx, failedAt+relistInterval-m.Clock.Monotonic())
+				relist, failedAt = true, m.Clock.Monotonic()
+			}
 			if relist {
 				listed, err = false, nil
 			}
@@ -217,14 +225,19 @@
 			if _, bounded := m.pollWait(); bounded {
 				listed = false
 			}
-			select {
-			case <-ctx.Done():
-			case <-time.After(retryDelay):
-			}
+			sleep(ctx, retryDelay)
 		}
 	}
 }
 
+// sleep waits for a while, or until ctx ends.
+func sleep(ctx context.Context, d clock.Millis) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(d.Duration()):
+	}
+}
+
 // logAvailability logs when the store becomes unavailable and when it responds
 // again.
 func (m *Mirror) logAvailability(ctx context.Context, err error) {
--- a/io/mirror/mirror_test.go
+++ b/io/mirror/mirror_test.go
@@ -93,3 +93,25 @@
 	age, _ := m.Freshness()
 	c.Check(age >= 7*clock.Second, qt.IsTrue, qt.Commentf("age %s", age))
 }
+
+// Guards against a copy that stays behind for good: a watch that was interrupted for a while has more to deliver than a
+// response may hold, and was asked for the same again and again (review/14).
+func TestChangesThatDoNotFitAResponseAreListed(t *testing.T) {
+	c := qt.New(t)
+	s := plat.NewStore()
+	m, _ := newMirror(t, s, 0)
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+	defer cancel()
+	c.Assert(m.Wait(ctx, 1), qt.IsNil)
+	s.SetFault(plat.StalledWatch)
+	for range 12 {
+		s.Put("a/large", make([]byte, 1<<20))
+	}
+	s.Put("a/small", []byte("v"))
+	s.SetFault(plat.None)
+	c.Assert(m.Wait(ctx, 14), qt.IsNil)
+	_, ok := m.Get("a/small")
+	c.Check(ok, qt.IsTrue)
+	s.Put("a/small", []byte("w"))
+	c.Assert(m.Wait(ctx, 15), qt.IsNil)
+}
