--- a/core/plan/place.go
+++ b/core/plan/place.go
@@ -198,17 +198,30 @@
 const joinTime = 2 * clock.Second
 
 // mayCrossRacks reports whether a request has waited long enough for the right
-// rack, could not run on a single rack even if all that ends there had ended, or is likely to
-// crash its worker anyway.
+// rack, could not run on a single rack even if all that ends there had ended, has its data in a rack where
+// nothing can hold it, or is likely to crash its worker anyway.
 func (p *Planner) mayCrossRacks(s *snapshot, r *request) bool {
 	u := r.first()
 	settled := r.guaranteed || p.now.Monotonic-p.started > joinTime // before, workers may not have joined yet
 	if u.step.SameRack && len(r.units) > 1 && settled && !s.fitsOneEmptyRack(r) || u.crashes.Likely() || p.hasWaitedToLast(r) {
 		return true
 	}
+	if settled && u.step.DataRack != "" && !p.dataRackHolds(u) {
+		return true
+	}
 	return p.now.Monotonic-r.waitingSince >= p.crossRackDelay(u)
 }
 
+// dataRackHolds reports whether a worker in the rack of a task's data can hold it, now or once others have ended.
+func (p *Planner) dataRackHolds(u *unit) bool {
+	for _, w := range p.workers {
+		if w.rack == u.step.DataRack && p.open(w) && matches(w, u) && u.need().Fits(w.capacity) {
+			return true
+		}
+	}
+	return false
+}
+
 func (s *snapshot) inRack(rack string) []*worker {
 	return s.byRack[rack]
 }
