--- a/core/plan/job.go
+++ b/core/plan/job.go
@@ -80,6 +80,7 @@
 		return
 	}
 	p.emit(Event{Kind: "job_taken", Job: j.ID, Detail: j.summary()})
+	p.lastJobAt = p.now.Monotonic
 	if j.Priority == 0 {
 		p.lastUrgentAt = p.now.Monotonic
 	}
--- a/core/plan/place.go
+++ b/core/plan/place.go
@@ -1,6 +1,7 @@
 package plan
 
 import (
+	"slices"
 	"sort"
 
 	"gypsumcrank/core/clock"
@@ -199,7 +200,8 @@
 
 // mayCrossRacks reports whether a request has waited long enough for the right
 // rack, could not run on a single rack even if all that ends there had ended, has its data in a rack where
-// nothing can hold it, or is likely to crash its worker anyway.
+// nothing can hold it, is likely to crash its worker anyway, or is all that its job could have running on a
+// service that stands idle and gets no other jobs.
 func (p *Planner) mayCrossRacks(s *snapshot, r *request) bool {
 	u := r.first()
 	settled := r.guaranteed || p.now.Monotonic-p.started > joinTime // before, workers may not have joined yet
@@ -209,9 +211,23 @@
 	if settled && u.step.DataRack != "" && !p.dataRackHolds(u) {
 		return true
 	}
+	if p.isQuiet() && p.standsIdle(r) && !r.job().hasRuns() {
+		return true
+	}
 	return p.now.Monotonic-r.waitingSince >= p.crossRackDelay(u)
 }
 
+// quietAfter is how long after the last job it counts as unlikely that others come at once.
+const quietAfter = 5 * clock.Second
+
+// isQuiet reports whether no job has come for a while.
+func (p *Planner) isQuiet() bool { return p.now.Monotonic-p.lastJobAt >= quietAfter }
+
+// hasRuns reports whether any task of the job may run somewhere.
+func (j *job) hasRuns() bool {
+	return slices.ContainsFunc(j.units, func(u *unit) bool { return u.placedOn != nil })
+}
+
 // dataRackHolds reports whether a worker in the rack of a task's data can hold it, now or once others have ended.
 func (p *Planner) dataRackHolds(u *unit) bool {
 	for _, w := range p.workers {
--- a/core/plan/plan.go
+++ b/core/plan/plan.go
@@ -78,6 +78,7 @@
 	demand         *fair.Ledger              // what the accounts use and wait for
 	demandAt       clock.Millis              // when demand was last updated
 	overShareAt    map[accountClass]clock.Millis
+	lastJobAt      clock.Millis              // when the last job was added
 	lastUrgentAt   clock.Millis              // when the last job of priority 0 was added
 	headroom       int                       // accelerators to be kept free for such jobs
 	lastScheduled  clock.Millis              // when schedule last ran
--- a/core/plan/racks_test.go
+++ b/core/plan/racks_test.go
@@ -75,3 +75,27 @@
 	f.finish(10 * clock.Second)
 	c.Check(f.storedProgress("a").Tasks[0].Run, qt.Equals, 1)
 }
+
+// Guards against a gang for one rack that has nothing running while each rack has one long task and most workers nothing to
+// do (rack-gang of the second review): it would wait for twice its estimate. While other jobs come it leaves them room.
+func TestAGangForOneRackRunsOnAnIdleService(t *testing.T) {
+	c := qt.New(t)
+	f := newFleet(t, 12, 3, workerResources)
+	for _, rack := range []string{"r0", "r1", "r2", "r3"} {
+		long := oneTask("long-"+rack, 1)
+		long.Steps[0].Label, long.Steps[0].Estimate = rack, clock.Hour
+		f.submit(long)
+	}
+	f.run(2 * clock.Second)
+	gang := oneTask("gang", 8)
+	gang.Steps[0].Count, gang.Steps[0].Gang, gang.Steps[0].SameRack, gang.Steps[0].Estimate = 3, true, true, 10*clock.Minute
+	f.submit(gang)
+	for i := range 6 {
+		f.run(clock.Second)
+		f.submit(oneTask(string(rune('a'+i)), 1))
+	}
+	c.Check(f.records["gang"], qt.IsNil)
+	f.run(5*clock.Second + idleLimit)
+	c.Assert(f.records["gang"], qt.IsNotNil)
+	c.Check(f.records["gang"].Tasks, qt.HasLen, 3)
+}
