A lasting task takes room that is reserved for a wide request (LOST, lasting)

What callers saw: the worker of a task that runs until it is cancelled left, and the task stayed down beside free room on each worker, as a wide gang held a reservation on all of it.

Cause: what is reserved may be borrowed by what ends in time, is cheap to stop, or has waited on an idle service. A lasting task is none of these, and serves nobody meanwhile.

Change: after the two seconds in which it waits for a better place, it may take reserved room as well; the reservation looks for another place.

Evidence: TestALastingTaskDoesNotWaitForAReservation fails without the change; with it the gang starts once there are enough whole workers beside the lasting task.

--- a/core/plan/lasting_test.go
+++ b/core/plan/lasting_test.go
@@ -191,3 +191,45 @@
 	}
 	qt.Check(t, f.records["urgent"].State, qt.Equals, task.Completed)
 }
+
+// Guards against a lasting task that stays down beside a reservation of all that is free: a wide gang waits for whole workers,
+// of which each has long tasks (lasting of the second review).
+func TestALastingTaskDoesNotWaitForAReservation(t *testing.T) {
+	c := qt.New(t)
+	f := newFleet(t, 11, 3, workerResources)
+	f.letServicesLast()
+	f.duration = func(j *task.Job, step int, _ *host) clock.Millis {
+		if j.ID == "filler" {
+			return 100 * clock.Second
+		}
+		return j.Steps[step].Estimate
+	}
+	filler := oneTask("filler", 1)
+	filler.Priority, filler.Steps[0].Count, filler.Steps[0].MaxPerWorker, filler.Steps[0].Estimate = 2, 66, 6, 2000
+	f.submit(filler)
+	f.run(2 * clock.Second)
+	one := oneTask("one", 1)
+	one.Priority, one.Steps[0].Service, one.Steps[0].Estimate = 2, true, clock.Hour
+	f.submit(one)
+	f.run(3 * clock.Second)
+	wide := oneTask("wide", 8)
+	wide.Steps[0].Count, wide.Steps[0].Gang, wide.Steps[0].Estimate = 10, true, 5000
+	f.submit(wide)
+	f.run(10 * clock.Second)
+	c.Assert(f.events["resources_reserved"] > 0, qt.IsTrue)
+	h := f.placeOf("one.0.0.0")
+	c.Assert(h, qt.IsNotNil)
+	h.announce(2 * clock.Second)
+	f.run(2 * clock.Second)
+	h.vanish()
+	gone := h.baseReport()
+	gone.Gone = true
+	f.send(gone)
+	f.run(6 * clock.Second)
+	c.Check(f.placeOf("one.0.0.0"), qt.IsNotNil)
+	f.addHost(3, workerResources) // now there are ten whole workers beside that of the lasting task
+	f.connect(f.hosts[11])
+	f.run(3 * clock.Minute)
+	c.Check(f.finishedAt["wide"] > 0, qt.IsTrue)
+	c.Check(f.placeOf("one.0.0.0"), qt.IsNotNil)
+}
--- a/core/plan/reserve.go
+++ b/core/plan/reserve.go
@@ -267,8 +267,9 @@
 }
 
 // mayBorrow reports whether a request may use resources that are kept for another one:
-// if it is expected to end before the other one starts, if it is cheap to stop, or if it
-// has waited while most of the service is idle.
+// if it is expected to end before the other one starts, if it is cheap to stop, if it
+// has waited while most of the service is idle, or if it is for a task that runs until it is cancelled and has
+// waited to run anywhere: the reservation looks for another place.
 func (p *Planner) mayBorrow(r *request, v *reservation) bool {
 	if v.misses < maxMisses {
 		length := p.expectedDuration(r.job(), r.first().name.Step) << v.misses
@@ -276,7 +277,7 @@
 			return true
 		}
 	}
-	return p.standsIdle(r)
+	return p.standsIdle(r) || p.hasWaitedToLast(r)
 }
 
 // placeOnKept places a request with what is kept for others and may be used for it.
