--- a/core/plan/crash.go
+++ b/core/plan/crash.go
@@ -83,6 +83,9 @@
 		if u.done || u.job.state.Ended() || p.jobs[u.job.ID] != u.job {
 			continue
 		}
+		if u.step.Service && e.crash.Lasted >= u.crashes.Probation() {
+			verdict = crash.Bystander // it did its work meanwhile, and has to run again however its runs end
+		}
 		p.setCrashes(u, u.crashes.Add(verdict, e.crash))
 		u.crashedOn = append(u.crashedOn, w.node)
 		p.emit(Event{Kind: "worker_crashed_under", Job: u.job.ID, Task: u.fullName, Worker: w.node, Run: e.run, Wait: e.crash.Lasted,
--- a/core/plan/lasting_test.go
+++ b/core/plan/lasting_test.go
@@ -233,3 +233,32 @@
 	c.Check(f.finishedAt["wide"] > 0, qt.IsTrue)
 	c.Check(f.placeOf("one.0.0.0"), qt.IsNotNil)
 }
+
+// Guards against a lasting task that is given up although no run of it has failed: its worker crashed four times, each time
+// after it had run well for 15 s (review/7). One that crashes each worker at once is given up.
+func TestALastingTaskOutlivesItsWorkersCrashes(t *testing.T) {
+	for _, test := range []struct {
+		after clock.Millis
+		want  task.State
+	}{{15 * clock.Second, task.Running}, {200, task.Failed}} {
+		f := newFleet(t, 3, 3, workerResources)
+		f.letServicesLast()
+		one := oneTask("one", 1)
+		one.Steps[0].Service, one.Steps[0].Label = true, "r0"
+		f.submit(one)
+		for range 8 {
+			f.run(clock.Second)
+			h := f.placeOf("one.0.0.0")
+			if h == nil {
+				break
+			}
+			f.run(test.after - 900)
+			if h = f.placeOf("one.0.0.0"); h != nil {
+				h.restart()
+			}
+			f.run(100)
+		}
+		f.run(clock.Second)
+		qt.Check(t, f.records["one"].State, qt.Equals, test.want, qt.Commentf("%s after its start", test.after))
+	}
+}
