--- a/core/plan/evict.go
+++ b/core/plan/evict.go
@@ -67,9 +67,8 @@
 }
 
 // evictable reports whether a task may be evicted for a request. A task of
-// priority 0 may be evicted only for a guaranteed request whose job has not
-// started, and one that runs until it is cancelled only for a guaranteed one, as
-// far as its step can spare it.
+// priority 0 may be evicted only for a guaranteed request that begins its job, and one
+// that runs until it is cancelled only for a guaranteed one, as far as its step can spare it.
 func (p *Planner) evictable(s *snapshot, r *request, u *unit) bool {
 	if s.evicted[u] || u.done || u.phase == stopping || u.phase == inDoubt || u.job == r.job() {
 		return false
@@ -80,7 +79,14 @@
 	if u.job.Priority > 0 {
 		return true
 	}
-	return r.guaranteed && !r.job().started
+	return r.guaranteed && r.beginsJob()
+}
+
+// beginsJob reports whether a request is for tasks with which its job begins, and that have not run yet. Others of
+// them may have begun.
+func (r *request) beginsJob() bool {
+	u := r.first()
+	return u.run == 0 && u.name.Occurrence == 0 && len(u.step.After) == 0
 }
 
 // spare returns how many more tasks of a step that runs until it is cancelled may be stopped,
--- a/core/plan/lasting_test.go
+++ b/core/plan/lasting_test.go
@@ -262,3 +262,39 @@
 		qt.Check(t, f.records["one"].State, qt.Equals, test.want, qt.Commentf("%s after its start", test.after))
 	}
 }
+
+// Guards against a guarantee that can't be had back once one task of the job has begun (review/8): tasks that are no gang are
+// placed one by one, and the first may find something free.
+func TestAGuaranteedJobThatHasBegunReclaims(t *testing.T) {
+	for _, takeover := range []bool{false, true} {
+		c := qt.New(t)
+		f := newFleet(t, 11, 3, workerResources)
+		f.letServicesLast()
+		f.config = (&route.Config{Version: 2, Accounts: map[string]route.Account{"acme": {Name: "acme", Accelerators: 8}, "birch": {Name: "birch", Accelerators: 8}}}).Prepare()
+		f.send(plan.ConfigMsg{Config: f.config})
+		borrower := oneTask("borrower", 1)
+		borrower.Account, borrower.Priority = "birch", 0
+		borrower.Steps[0].Count, borrower.Steps[0].Service, borrower.Steps[0].Need.MilliCPU = 87, true, 1000
+		f.submit(borrower)
+		f.run(3 * clock.Second)
+		urgent := guaranteedJob("urgent", 4, 1)
+		urgent.Steps[0].Estimate = 20_000
+		f.submit(urgent)
+		if takeover {
+			f.run(30)
+			f.takeOver()
+			f.run(clock.Second)
+		}
+		f.run(plan.DefaultSettings().ReclaimLimit)
+		runs := 0
+		for i := range 4 {
+			if f.placeOf(fmt.Sprint("urgent.0.0.", i)) != nil {
+				runs++
+			}
+		}
+		c.Check(runs, qt.Equals, 4, qt.Commentf("takeover %t", takeover))
+		if !takeover {
+			c.Check(f.evicted, qt.Equals, 3)
+		}
+	}
+}
