--- a/cmd/gypsumcrank/soak_test.go
+++ b/cmd/gypsumcrank/soak_test.go
@@ -88,6 +88,7 @@
 	steps     map[string]soakStep  // first step of each job
 	crashes   *soakCrashes
 	standing  map[string]time.Time // since when a job could run and does not
+	largeJobs int                  // that were submitted
 }
 
 // soakStep is the first step of a job; the second has soakSecondStep single tasks that need
@@ -97,6 +98,14 @@
 	gang                bool
 }
 
+// milliCPU returns the processors of one task; those of large jobs are small.
+func (s soakStep) milliCPU() int {
+	if s.accelerators == 0 {
+		return 100
+	}
+	return 1000
+}
+
 const soakSecondStep = 2
 
 func newSoak(t *testing.T, seed uint64) *soak {
@@ -122,12 +131,13 @@
 	for name, e := range s.executors {
 		e.SetOnStart(func(running []string) { s.crashes.checkRoom(name, running) })
 	}
-	turns, odd := rand.New(rand.NewPCG(seed, 9)), rand.New(rand.NewPCG(seed, 11))
+	turns, odd, values := rand.New(rand.NewPCG(seed, 9)), rand.New(rand.NewPCG(seed, 11)), rand.New(rand.NewPCG(seed, 13))
 	for end := time.Now().Add(soakDuration); time.Now().Before(end); {
 		for range 1 + len(s.procs)/processesPerStep {
 			s.step()
 			s.turnAwayStep(turns, time.Now().Add(time.Duration(1000+turns.IntN(3000))*time.Millisecond))
 			s.oddStep(odd)
+			s.storeStep(values, time.Now().Add(time.Duration(1000+values.IntN(3000))*time.Millisecond))
 		}
 		s.endFaults(time.Now())
 		s.checkConfig()
@@ -205,6 +215,8 @@
 		kind, name, _ := strings.Cut(what, " ")
 		name, sig, _ := strings.Cut(name, " ")
 		switch {
+		case kind == "store" && name == valueLimit:
+			s.store.LimitValues(0)
 		case kind == "store":
 			s.store.SetFault(plat.None)
 		case kind == "link":
@@ -322,8 +334,8 @@
 func (s *soak) submit(id string, first soakStep, front string) {
 	s.steps[id] = first
 	s.crashes.setWidth(id, first.accelerators)
-	body := fmt.Sprintf(`{"task_spec":"x","steps":[{"count":%d,"cpu":1000,"mem_mb":100,"gpu":%d,"estimate_ms":800,"gang":%v},{"count":%d,"cpu":1000,"mem_mb":10,"gpu":1,"after":[0]}]}`,
-		first.count, first.accelerators, first.gang, soakSecondStep)
+	body := fmt.Sprintf(`{"task_spec":"x","steps":[{"count":%d,"cpu":%d,"mem_mb":100,"gpu":%d,"estimate_ms":800,"gang":%v},{"count":%d,"cpu":1000,"mem_mb":10,"gpu":1,"after":[0]}]}`,
+		first.count, first.milliCPU(), first.accelerators, first.gang, soakSecondStep)
 	switch status, _ := s.callAt(front, "POST", "/q/"+id, body); status {
 	case 200:
 		s.accepted[id] = true
@@ -391,7 +403,7 @@
 			waiting = true
 			need, copies := 1, 0
 			if !firstDone {
-				need = st.accelerators
+				need = max(1, st.accelerators)
 			}
 			for _, n := range free {
 				copies += n / need
