Parts are joined only for a front that is there and can't read them

What callers would see: after an outage of the store in which all registrations of fronts have ended, the planner joins the parts of each large job to one record of up to 1 MB, as "all registered fronts read parts" is not known then; a front that is seen before its format does the same.

Change: the planner has a policy: keep the form, parts, or one record. Nobody registered says nothing, and keeps the form. One record follows when a front that can't read parts has been registered for a second.

--- a/core/plan/plan.go
+++ b/core/plan/plan.go
@@ -72,11 +72,11 @@
 	trialsIgnored  bool                      // placement is tried as if there were no suspects
 	writeQueue     []*job                    // jobs whose records are to be written, the first ones first
 	aside          []*job                    // jobs whose records are kept out of writes for now
-	partsAllowed   bool                      // the progress of large jobs may be stored in parts
-	lastStoredAt   clock.Millis              // when a write was last known to be stored
-	speedsRejected bool                      // the store has rejected a write with speeds
-	demand         *fair.Ledger              // what the accounts use and wait for
-	demandAt       clock.Millis              // when demand was last updated
+	partsPolicy    PartsPolicy
+	lastStoredAt   clock.Millis // when a write was last known to be stored
+	speedsRejected bool         // the store has rejected a write with speeds
+	demand         *fair.Ledger // what the accounts use and wait for
+	demandAt       clock.Millis // when demand was last updated
 	overShareAt    map[accountClass]clock.Millis
 	lastJobAt      clock.Millis              // when the last job was added
 	lastUrgentAt   clock.Millis              // when the last job of priority 0 was added
--- a/core/plan/record.go
+++ b/core/plan/record.go
@@ -33,20 +33,38 @@
 	return 2
 }
 
-// AllowParts says whether the progress of large jobs may be stored in parts: whether all who may become the planner
-// can read them. If not, it is stored in one record, without what is only of use.
-func (p *Planner) AllowParts(allowed bool) {
-	if p.partsAllowed == allowed {
+// PartsPolicy says in which form the progress of large jobs is stored. Any front may become the planner, and
+// those of builds before parts can't read them.
+type PartsPolicy int
+
+// The policies.
+const (
+	KeepForm PartsPolicy = iota // as it is; of new jobs in one record
+	InParts
+	InOneRecord // without what is only of use, as there is no other bound
+)
+
+// SetPartsPolicy sets in which form the progress of large jobs is stored from now on.
+func (p *Planner) SetPartsPolicy(policy PartsPolicy) {
+	if p.partsPolicy == policy {
 		return
 	}
-	p.partsAllowed = allowed
+	p.partsPolicy = policy
 	for _, id := range slices.Sorted(maps.Keys(p.jobs)) {
-		if j := p.jobs[id]; !allowed && j.hasParts() {
+		if j := p.jobs[id]; policy == InOneRecord && j.hasParts() {
 			p.markDirty(j)
 		}
 	}
 }
 
+// storedInParts reports whether a job's progress is to be stored in parts.
+func (p *Planner) storedInParts(j *job) bool {
+	if !j.Large() || j.brief || p.partsPolicy == InOneRecord {
+		return false
+	}
+	return p.partsPolicy == InParts || j.inParts
+}
+
 // hasParts reports whether parts of a job's progress are stored.
 func (j *job) hasParts() bool {
 	for _, part := range j.parts {
@@ -91,7 +109,7 @@
 		return append(j.deleteParts(), pendingRecord{Record: Record{ID: j.ID, Rev: j.rev}})
 	}
 	progress := j.progress()
-	if j.Large() && p.partsAllowed && !j.brief {
+	if p.storedInParts(j) {
 		return j.encodeParts(progress)
 	}
 	if j.Large() {
--- a/io/front/index.go
+++ b/io/front/index.go
@@ -208,18 +208,18 @@
 	}
 }
 
-// PartsReadable reports whether all registered fronts, of which there are any, read progress in parts. Any of
-// them may become the planner. A format counts if it was registered together with the address: otherwise it is
-// left from a process of another build.
-func (x *Index) PartsReadable() bool {
+// PartsReadable reports whether all registered fronts read progress in parts; known is false if none is
+// registered, as after an outage of the store. A format counts if it was registered together with the address:
+// otherwise it is left from a process of another build.
+func (x *Index) PartsReadable() (readable, known bool) {
 	x.mu.Lock()
 	defer x.mu.Unlock()
 	for name, front := range x.fronts {
 		if format := x.formats[name]; format.rev != front.rev || format.value < store.RecordFormat {
-			return false
+			return false, true
 		}
 	}
-	return len(x.fronts) > 0
+	return true, len(x.fronts) > 0
 }
 
 func (x *Index) notify(msg any) {
--- a/io/steer/term.go
+++ b/io/steer/term.go
@@ -37,6 +37,7 @@
 	config          *route.Config // that the planner has
 	closed          plan.ClosedMsg
 	forecastAt      clock.Millis // when the forecast was last published
+	unreadableSince clock.Millis // since when a front is registered that can't read parts, 0 if none is
 }
 
 // connMsg reports a new connection to a side.
@@ -61,7 +62,7 @@
 func (t *term) serve(ctx context.Context) {
 	s := t.coord
 	t.planner = &plan.Planner{Epoch: t.epoch, Settings: s.planSettings()}
-	t.planner.AllowParts(s.Index.PartsReadable())
+	t.updatePartsPolicy(s.Clock.Monotonic())
 	t.conns = make(map[string]*link.Conn)
 	t.ended = make(chan string, 1)
 	t.loop = &kern.Loop{Model: t}
@@ -184,7 +185,7 @@
 		msg = plan.LinkMsg{Node: m.node}
 	case plan.TickMsg:
 		t.checkKey()
-		t.planner.AllowParts(t.coord.Index.PartsReadable())
+		t.updatePartsPolicy(now.Monotonic)
 		t.updateGauges(now.Monotonic)
 		t.publishForecast(now.Monotonic)
 	}
@@ -233,6 +234,27 @@
 	t.coord.OnForecast(t.planner.Forecast())
 }
 
+// joinPartsAfter is how long fronts that can't read parts must have been registered before parts are joined: a
+// registration may be seen in two steps.
+const joinPartsAfter = clock.Second
+
+// updatePartsPolicy sets in which form the progress of large jobs is stored, by what the registered fronts read.
+func (t *term) updatePartsPolicy(now clock.Millis) {
+	readable, known := t.coord.Index.PartsReadable()
+	if readable || !known {
+		t.unreadableSince = 0
+	} else if t.unreadableSince == 0 {
+		t.unreadableSince = now
+	}
+	switch {
+	case !known:
+	case readable:
+		t.planner.SetPartsPolicy(plan.InParts)
+	case now-t.unreadableSince >= joinPartsAfter:
+		t.planner.SetPartsPolicy(plan.InOneRecord)
+	}
+}
+
 // gaugeInterval is how often the task gauges are updated.
 const gaugeInterval = clock.Second
 
--- a/io/steer/term_test.go
+++ b/io/steer/term_test.go
@@ -130,3 +130,55 @@
 	c.Check(bytes.Count(log.Bytes(), []byte("msg=end_unknown")), qt.Equals, 0)
 	c.Check(bytes.Count(log.Bytes(), []byte("msg=job_taken")), qt.Equals, jobs)
 }
+
+// Parts are joined once a front that can't read them has been registered for a while, and stay as they are while nobody is
+// registered, as after an outage of the store.
+func TestPartsFollowTheRegisteredFronts(t *testing.T) {
+	c, clk := qt.New(t), clock.Manual(1_000_000)
+	tm, _, _ := termOnSide(t, clk)
+	job := oneTaskJob("large")
+	job.Job.Steps[0].Count = 300
+	job.Progress, job.Rev, job.PartRevs = &task.Progress{State: task.Running, Started: true, Parts: 5}, 5, map[int]int64{1: 5}
+	writes := &txnRecorder{}
+	tm.coord.Store = writes
+	send := func(msg any) {
+		cmds := tm.Update(msg)
+		for len(cmds) > 0 {
+			cmds = append(cmds[1:], tm.Update(cmds[0](context.Background()))...)
+		}
+	}
+	send(job)
+	deleted := func() (n int) {
+		for range 20 {
+			writes.deleted = 0
+			clk.Advance(100)
+			tm.leaseValidUntil = clk.Boottime() + 1500
+			send(plan.TickMsg{})
+			n += writes.deleted
+		}
+		return n
+	}
+	front := func(name string, format bool, rev int64) {
+		changes := []store.Change{{KV: store.KV{Key: store.FrontKey(name), Value: []byte("10.0.0.1:1"), Rev: rev}}}
+		if format {
+			changes = append(changes, store.Change{KV: store.KV{Key: store.FormatKey(name), Value: []byte("1"), Rev: rev}})
+		}
+		tm.coord.Index.Apply(changes)
+	}
+	c.Check(deleted(), qt.Equals, 0)
+	front("a", true, 6)
+	c.Check(deleted(), qt.Equals, 0)
+	front("b", false, 7) // of the build before
+	c.Check(deleted() > 0, qt.IsTrue)
+}
+
+// txnRecorder is a store that takes each write and counts deletions.
+type txnRecorder struct {
+	store.TxnStore
+	deleted int
+}
+
+func (r *txnRecorder) Commit(_ context.Context, t store.Txn) (store.TxnResult, error) {
+	r.deleted += len(t.Delete)
+	return store.TxnResult{Committed: true, Rev: 8}, nil
+}
