--- a/cmd/gypsumcrank/soak_store_test.go
+++ b/cmd/gypsumcrank/soak_store_test.go
@@ -10,12 +10,12 @@
 const (
 	// largeJobOdds and valueLimitOdds are in one of how many steps a soak submits a large job, or limits values.
 	largeJobOdds   = 30
-	valueLimitOdds = 30
+	valueLimitOdds = 15
 	// maxLargeJobs is how many large jobs fit the executors beside all others.
 	maxLargeJobs   = 3
 	largeJobTasks  = 300
-	minValueLimit  = 1500 // bytes
-	valueLimitSpan = 6000 // bytes
+	minValueLimit  = 200 // bytes
+	valueLimitSpan = 800 // bytes
 )
 
 // storeStep submits a large job, or makes the store reject longer values for a while, each once in a while. It has
