--- a/core/plan/presence.go
+++ b/core/plan/presence.go
@@ -65,8 +65,8 @@
 	return p.now.Monotonic-w.lastReportAt < p.Settings.MaxLease/2
 }
 
-// takesStarts reports whether a start that was recorded for a worker may be ordered: it is of use if the worker can't be
-// reached for a moment.
+// takesStarts reports whether a start that was recorded for a worker may be ordered, also if the worker can't be reached
+// for a moment: the order is sent again.
 func (p *Planner) takesStarts(w *worker) bool {
 	return !w.dead && !w.draining && w.acceptedEpoch && !p.inClosedCentre(w)
 }
--- a/core/plan/record.go
+++ b/core/plan/record.go
@@ -39,9 +39,9 @@
 
 // The policies.
 const (
-	KeepForm PartsPolicy = iota // as it is; of new jobs in one record
-	InParts
-	InOneRecord // without what is only of use, as there is no other bound
+	KeepForm    PartsPolicy = iota // as it is; that of new jobs in one record
+	InParts                        // one record for each part of the tasks
+	InOneRecord                    // without crash histories and checkpoints, so that it is short enough
 )
 
 // SetPartsPolicy sets in which form the progress of large jobs is stored from now on.
@@ -125,7 +125,7 @@
 	return Record{ID: j.ID, Rev: j.rev, Value: encode(progress), Ended: j.state.Ended()}
 }
 
-// encode encodes a record. The types of records can't fail to be encoded.
+// encode encodes a record. Records have only types that can always be encoded.
 func encode(v any) []byte {
 	raw, _ := task.Encode(v)
 	return raw
@@ -181,8 +181,8 @@
 	}
 }
 
-// shorten drops what is only of use for some tasks: crash histories and checkpoints. Without them tasks are suspected
-// anew, and may have to be done again.
+// shorten drops crash histories and checkpoints from a record. They are known to this planner; the next one suspects
+// tasks anew, and starts those again from the beginning that don't run.
 func shorten(tasks []task.TaskProgress) {
 	for i := range tasks {
 		tasks[i].Crashes, tasks[i].Checkpoint = task.TaskProgress{}.Crashes, ""
--- a/core/plan/write.go
+++ b/core/plan/write.go
@@ -142,7 +142,7 @@
 	if len(speeds) == 0 {
 		return nil
 	}
-	raw, _ := json.Marshal(speeds) // can't fail
+	raw, _ := json.Marshal(speeds) // they have only types that can always be encoded
 	return raw
 }
 
